Serve lookups, payments and uploads end to end through separate processes

Cause: nothing existed. This is the thin whole path: balancers between callers and upstreams, with stand-ins for the platform and the upstreams, a demonstration that checks ledgers, and a first stateful fuzz of at-most-once execution.

--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what lies outside the product: platform, upstreams and callers."""
--- /dev/null
+++ b/waxwingspool/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/waxwingspool/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, the configuration file, and how an accepted version spreads."""
--- /dev/null
+++ b/waxwingspool/config/settings.py
@@ -0,0 +1,82 @@
+"""Settings of one process: its own addresses, its place, and where the platform is.
+
+Everything else comes from the applied configuration.
+"""
+
+import pathlib
+from typing import Annotated
+
+import pydantic
+
+from waxwingspool import exceptions
+from waxwingspool.config import check, findings
+
+__all__ = ["Platform", "Settings", "load", "parse"]
+
+HostPort = Annotated[str, pydantic.Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Platform(_Model):
+    """Base URLs of the platform's services."""
+
+    table: str
+    objects: str
+    vms: str
+
+
+class Settings(_Model):
+    """Settings of one balancer.
+
+    :ivar id: name of the VM, unique among balancers.
+    :ivar policy: how an upstream is chosen; ``expected`` is the product's, the others are
+        baselines for measurements.
+    :ivar measuring: set to false to spend nothing on measuring, whatever the budget is.
+    :ivar peers: addresses of peers to ask before the VM list answers; hints only.
+    :ivar drain_s: the longest a planned stop waits for requests in flight.
+    :ivar rotation_s: how long a planned stop goes on accepting, until the platform has noticed.
+    """
+
+    id: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
+    data_centre: str
+    region: str
+    caller_address: HostPort
+    peer_address: HostPort
+    operator_address: HostPort
+    platform: Platform
+    policy: str = "expected"
+    measuring: bool = True
+    peers: tuple[HostPort, ...] = ()
+    drain_s: float = pydantic.Field(gt=0, default=60.0)
+    rotation_s: float = pydantic.Field(ge=0, default=2.0)
+    log_level: str = pydantic.Field(pattern=r"^(debug|info|warning|error)$", default="info")
+
+
+def parse(text: str | bytes) -> Settings:
+    """Return the settings in a JSON text.
+
+    :param text: the JSON text.
+    :returns: the validated settings.
+    :raises waxwingspool.exceptions.ConfigurationError: with every finding and its place.
+    """
+    try:
+        return Settings.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        raise exceptions.ConfigurationError(findings.report(check.model_findings(error))) from error
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Return the settings in a file.
+
+    :param path: the file.
+    :returns: the validated settings.
+    :raises waxwingspool.exceptions.ConfigurationError: if it can't be read or is not valid.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise exceptions.ConfigurationError(f"settings can't be read: {error}") from error
+    return parse(text)
--- /dev/null
+++ b/waxwingspool/config/store.py
@@ -0,0 +1,208 @@
+"""The accepted configuration: how it is published and how a process keeps the newest.
+
+The table holds one row with the version in force and the root hash of its tree; the blobs lie in
+the object store. A compare-and-set on that row decides between two operators.
+"""
+
+import dataclasses
+import json
+import secrets
+from collections.abc import Awaitable, Callable, Container
+
+import expression
+
+from waxwingspool import exceptions
+from waxwingspool.config import model, tree
+from waxwingspool.platform import objects, table
+
+__all__ = ["HEAD_KEY", "Accepted", "Head", "Holder", "Outdated", "publish", "read_head", "to_text"]
+
+# Table key of the row that names the version in force.
+HEAD_KEY = "config/head"
+# Prefix of blob names in the object store.
+BLOB_PREFIX = "config/"
+# Looks at the table to find out whether a lost write took effect.
+RESOLVE_TRIES = 5
+
+PeerBlobs = Callable[[list[str]], Awaitable[dict[str, bytes]]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Head:
+    """A version of the configuration and the root hash of its tree."""
+
+    version: int
+    root: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The configuration was accepted as this version."""
+
+    head: Head
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outdated:
+    """Another configuration was accepted first; ``head`` is the one in the table."""
+
+    head: Head
+
+
+async def read_head(store: table.Table) -> Head | None:
+    """Return the head in the table, ``None`` before the first configuration.
+
+    :param store: the table.
+    :raises waxwingspool.exceptions.StoreUnavailable: if the table did not answer.
+    """
+    rows = await store.read([HEAD_KEY])
+    return _head(rows[HEAD_KEY]) if HEAD_KEY in rows else None
+
+
+async def publish(
+    store: table.Table,
+    blobs: objects.Objects,
+    built: tree.Tree,
+    base: int | None,
+    stored: Container[str] = (),
+) -> expression.Result[Accepted, Outdated]:
+    """Publish a configuration as the next version.
+
+    :param store: the table.
+    :param blobs: the object store.
+    :param built: the configuration's tree.
+    :param base: the version that the operator changed, ``None`` for whatever is in force.
+    :param stored: hashes of blobs that the object store is known to have.
+    :returns: the accepted version, or the version that won.
+    :raises waxwingspool.exceptions.StoreUnavailable: if it was not accepted.
+    :raises waxwingspool.exceptions.StoreAnswerLost: if whether it was accepted is not known.
+
+    Blobs are written before the row, so a version in the table is always complete. The row carries
+    a token of this call, by which a write whose answer was lost is found again.
+    """
+    rows = await store.read([HEAD_KEY])
+    row = rows.get(HEAD_KEY)
+    current = _head(row) if row else Head(0, "")
+    if base is not None and base != current.version:
+        return expression.Error(Outdated(current))
+    for h, blob in built.blobs.items():
+        if h not in stored:
+            await blobs.put(BLOB_PREFIX + h, blob)
+    head = Head(current.version + 1, built.root)
+    value = {"version": head.version, "root": head.root, "token": secrets.token_hex(8)}
+    write = table.Write(HEAD_KEY, row.version if row else table.ABSENT, value)
+    return await _commit_head(store, write, head)
+
+
+async def _commit_head(
+    store: table.Table, write: table.Write, head: Head
+) -> expression.Result[Accepted, Outdated]:
+    """Commit the head; a repeated write is safe because its condition holds only once."""
+    for attempt in range(RESOLVE_TRIES):
+        try:
+            result = await store.commit([write])
+        except exceptions.StoreAnswerLost:
+            continue
+        except exceptions.StoreUnavailable:
+            if attempt == 0:
+                raise
+            continue
+        if result.is_ok():
+            return expression.Ok(Accepted(head))
+        found = result.error.rows[HEAD_KEY]
+        if found is not None and found.value == write.value:
+            return expression.Ok(Accepted(head))
+        if attempt > 0 and found is not None and found.value["version"] > head.version:
+            raise exceptions.StoreAnswerLost("a later version is in force; compare its content")
+        return expression.Error(Outdated(_head(found) if found else Head(0, "")))
+    raise exceptions.StoreAnswerLost("whether the configuration was accepted is not known")
+
+
+class Holder:
+    """The newest configuration that this process has seen; its version only grows.
+
+    :param blobs: the object store.
+    :param peer_blobs: asks peers for blobs; returns those that were found.
+    :param on_change: called with each configuration as it comes into force.
+    """
+
+    def __init__(
+        self,
+        blobs: objects.Objects,
+        peer_blobs: PeerBlobs,
+        on_change: Callable[[Head, model.Configuration], None],
+    ) -> None:
+        self._blobs = blobs
+        self._peer_blobs = peer_blobs
+        self._on_change = on_change
+        self._known: dict[str, bytes] = {}
+        self.head = Head(0, "")
+        self.configuration: model.Configuration | None = None
+
+    async def advance(self, head: Head) -> bool:
+        """Bring a version into force if it is newer than the one that is.
+
+        :param head: a head from the table or a peer.
+        :returns: whether it came into force.
+        :raises waxwingspool.exceptions.BlobMissing: if its content is not to be had yet.
+        """
+        if head.version <= self.head.version:
+            return False
+        configuration, built = await tree.fetch(head.root, self._fetch)
+        return self.install(head, configuration, built)
+
+    def install(self, head: Head, configuration: model.Configuration, built: tree.Tree) -> bool:
+        """Bring a version whose content is at hand into force if it is newer.
+
+        :param head: the version.
+        :param configuration: its content.
+        :param built: its tree.
+        :returns: whether it came into force.
+        """
+        if head.version <= self.head.version:
+            return False
+        self.head = head
+        self.configuration = configuration
+        self._known = built.blobs
+        self._on_change(head, configuration)
+        return True
+
+    def blobs(self, hashes: list[str]) -> dict[str, bytes]:
+        """Return the blobs of the version in force that are among ``hashes``."""
+        return {h: self._known[h] for h in hashes if h in self._known}
+
+    async def _fetch(self, hashes: list[str]) -> dict[str, bytes]:
+        """Return blobs from memory, then peers, then the object store."""
+        found = self.blobs(hashes)
+        missing = [h for h in hashes if h not in found]
+        if missing:
+            found.update(_verified(await self._peer_blobs(missing)))
+        for h in hashes:
+            if h not in found:
+                found[h] = await self._fetch_object(h)
+        return found
+
+    async def _fetch_object(self, h: str) -> bytes:
+        """Return a blob from the object store."""
+        try:
+            blob = await self._blobs.fetch(BLOB_PREFIX + h)
+        except exceptions.StoreUnavailable as error:
+            raise exceptions.BlobMissing(f"blob {h}: {error}") from error
+        if blob is None or tree.blob_hash(blob) != h:
+            raise exceptions.BlobMissing(f"blob {h} is not in the object store")
+        return blob
+
+
+def _head(row: table.Row) -> Head:
+    """Return the head in a row."""
+    return Head(row.value["version"], row.value["root"])
+
+
+def _verified(blobs: dict[str, bytes]) -> dict[str, bytes]:
+    """Return the blobs whose content matches their hash."""
+    return {h: blob for h, blob in blobs.items() if tree.blob_hash(blob) == h}
+
+
+def to_text(configuration: model.Configuration) -> str:
+    """Return a configuration as the JSON text of a file."""
+    return json.dumps(configuration.model_dump(mode="json"), indent=2)
--- /dev/null
+++ b/waxwingspool/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What balancers tell each other."""
--- /dev/null
+++ b/waxwingspool/membership/link.py
@@ -0,0 +1,121 @@
+"""The link to peers: grpc towards them, and a server for what they ask.
+
+:class:`PeerLink` is the interface; this module is the only one that knows the wire form.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import grpc
+import grpc.aio
+
+from waxwingspool import exceptions
+from waxwingspool.membership import peer_pb2, peer_pb2_grpc
+
+__all__ = ["PROTOCOL", "GrpcLink", "PeerLink", "grpc_link", "serve"]
+
+# Version of the protocol between balancers; peers that speak another one are refused.
+PROTOCOL = 1
+# Longest wait for a peer, in seconds.
+TIMEOUT_S = 2.0
+# Largest message, in bytes.
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+]
+
+Exchange = Callable[[peer_pb2.Digest], Awaitable[peer_pb2.Digest]]
+Blobs = Callable[[list[str]], dict[str, bytes]]
+
+
+class PeerLink(Protocol):
+    """What the product needs of the link; both raise ``PeerUnavailable``."""
+
+    async def exchange(self, address: str, digest: peer_pb2.Digest) -> peer_pb2.Digest:
+        """Send a digest and return the peer's."""
+
+    async def blobs(self, address: str, hashes: list[str]) -> dict[str, bytes]:
+        """Return the blobs that the peer has."""
+
+
+def grpc_link() -> "GrpcLink":
+    """Return a link by grpc. Close it with ``await link.close()``."""
+    return GrpcLink()
+
+
+class GrpcLink:
+    """Channels to peers, one for each, opened when first used."""
+
+    def __init__(self) -> None:
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def close(self) -> None:
+        """Close every channel."""
+        for channel in self._channels.values():
+            await channel.close()
+
+    async def forget(self, addresses: set[str]) -> None:
+        """Close the channels to peers that are not among ``addresses``."""
+        for address in set(self._channels) - addresses:
+            await self._channels.pop(address).close()
+
+    async def exchange(self, address: str, digest: peer_pb2.Digest) -> peer_pb2.Digest:
+        try:
+            reply = await self._stub(address).Exchange(digest, timeout=TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            raise exceptions.PeerUnavailable(f"{address}: {error.code().name}") from error
+        if reply.protocol != PROTOCOL:
+            raise exceptions.PeerUnavailable(f"{address} speaks protocol {reply.protocol}")
+        return reply
+
+    async def blobs(self, address: str, hashes: list[str]) -> dict[str, bytes]:
+        request = peer_pb2.BlobRequest(hashes=hashes)
+        try:
+            reply = await self._stub(address).Blobs(request, timeout=TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            raise exceptions.PeerUnavailable(f"{address}: {error.code().name}") from error
+        return dict(reply.blobs)
+
+    def _stub(self, address: str) -> peer_pb2_grpc.PeerStub:
+        """Return a stub for a peer."""
+        if address not in self._channels:
+            self._channels[address] = grpc.aio.insecure_channel(address, options=_OPTIONS)
+        return peer_pb2_grpc.PeerStub(self._channels[address])
+
+
+async def serve(address: str, exchange: Exchange, blobs: Blobs) -> grpc.aio.Server:
+    """Start the server for peers.
+
+    :param address: IP number and port to listen on.
+    :param exchange: answers a digest.
+    :param blobs: returns blobs by hash.
+    :returns: the started server. Stop it with ``await server.stop(grace_s)``.
+    """
+    server = grpc.aio.server(options=_OPTIONS)
+    peer_pb2_grpc.add_PeerServicer_to_server(_Servicer(exchange, blobs), server)
+    server.add_insecure_port(address)
+    await server.start()
+    return server
+
+
+class _Servicer(peer_pb2_grpc.PeerServicer):
+    """Answers peers."""
+
+    def __init__(self, exchange: Exchange, blobs: Blobs) -> None:
+        self._exchange = exchange
+        self._blobs = blobs
+
+    async def Exchange(self, request, context):  # noqa: N802
+        if request.protocol != PROTOCOL:
+            message = f"protocol {request.protocol} is not spoken here, {PROTOCOL} is"
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, message)
+        return await self._exchange(request)
+
+    async def Blobs(self, request, context):  # noqa: N802
+        return peer_pb2.BlobReply(blobs=self._blobs(list(request.hashes)))
--- /dev/null
+++ b/waxwingspool/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the service-level burn report."""
--- /dev/null
+++ b/waxwingspool/observe/metrics.py
@@ -0,0 +1,70 @@
+"""Metrics of one process, for Prometheus to collect."""
+
+import dataclasses
+
+import prometheus_client
+
+__all__ = ["Metrics", "create"]
+
+# Upper bounds of the latency buckets, in seconds.
+LATENCY_BUCKETS_S = (
+    *(0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075),
+    *(0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Metrics:
+    """The metrics.
+
+    :ivar requests: requests by service, rule and outcome.
+    :ivar latency: seconds from accepting a request to its outcome, by service and rule.
+    :ivar extra: extra upstream attempts by service and kind (``hedge``, ``retry``).
+    :ivar measuring_bytes: bytes spent on measuring, by ``scope`` (``region``, ``cross``).
+    :ivar measuring_work: upstream milliseconds spent on probes.
+    :ivar store_calls: transactions and reads of the table by kind.
+    :ivar peer_bytes: bytes to and from peers by ``scope``.
+    :ivar cross_bytes: request and answer bytes across regions.
+    :ivar config_version: version in force.
+    """
+
+    registry: prometheus_client.CollectorRegistry
+    requests: prometheus_client.Counter
+    latency: prometheus_client.Histogram
+    extra: prometheus_client.Counter
+    measuring_bytes: prometheus_client.Counter
+    measuring_work: prometheus_client.Counter
+    store_calls: prometheus_client.Counter
+    peer_bytes: prometheus_client.Counter
+    cross_bytes: prometheus_client.Counter
+    config_version: prometheus_client.Gauge
+
+
+def create() -> Metrics:
+    """Return new metrics in a registry of their own."""
+    registry = prometheus_client.CollectorRegistry()
+    prometheus_client.ProcessCollector(registry=registry)
+
+    def counter(name: str, text: str, *labels: str) -> prometheus_client.Counter:
+        return prometheus_client.Counter(f"waxwingspool_{name}", text, labels, registry=registry)
+
+    return Metrics(
+        registry=registry,
+        requests=counter("requests", "Requests by outcome", "service", "rule", "outcome"),
+        latency=prometheus_client.Histogram(
+            "waxwingspool_latency_seconds",
+            "Time from accepting a request to its outcome",
+            ("service", "rule"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        ),
+        extra=counter("extra_attempts", "Hedges and retries", "service", "kind"),
+        measuring_bytes=counter("measuring_bytes", "Bytes spent on measuring", "scope"),
+        measuring_work=counter("measuring_work_ms", "Upstream work spent on probes"),
+        store_calls=counter("store_calls", "Calls of the platform's table", "kind"),
+        peer_bytes=counter("peer_bytes", "Bytes to and from peers", "scope"),
+        cross_bytes=counter("cross_bytes", "Request and answer bytes across regions"),
+        config_version=prometheus_client.Gauge(
+            "waxwingspool_config_version", "Configuration version in force", registry=registry
+        ),
+    )
--- /dev/null
+++ b/waxwingspool/once/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent requests."""
--- /dev/null
+++ b/waxwingspool/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream, limits, hedges and budgets."""
--- /dev/null
+++ b/waxwingspool/routing/fleet.py
@@ -0,0 +1,128 @@
+"""All services of the configuration in force: pools, and rules by path."""
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+from waxwingspool.config import model
+from waxwingspool.routing import policy, pool, target
+
+__all__ = ["Fleet", "Route"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """What serves a request."""
+
+    pool: pool.Pool
+    rule: model.Rule
+
+
+class Fleet:
+    """The pools of all services.
+
+    :param region: this balancer's region.
+    :param policy_name: a key of :data:`waxwingspool.routing.policy.POLICIES`.
+    :param rng: source of random numbers.
+    :param on_departure: called with a target that has been seen to leave for the first time.
+    :param clock: monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        policy_name: str,
+        rng: random.Random,
+        on_departure: Callable[[target.Target], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._region = region
+        self._policy = policy.POLICIES[policy_name]
+        self._rng = rng
+        self._on_departure = on_departure
+        self._clock = clock
+        self._routes: dict[str, list[tuple[str, Route]]] = {}
+        self.pools: dict[str, pool.Pool] = {}
+
+    def configure(self, configuration: model.Configuration) -> None:
+        """Take over a configuration; services whose part has not changed are left alone.
+
+        :param configuration: the whole configuration.
+        """
+        round_trip_ms = self._round_trips(configuration)
+        pools: dict[str, pool.Pool] = {}
+        for service in configuration.services:
+            p = self.pools.get(service.name)
+            if p is None:
+                choose = self._policy(self._rng)
+                p = pool.Pool(service, round_trip_ms, choose, self._on_departure, self._clock)
+            else:
+                p.configure(service, round_trip_ms)
+            pools[service.name] = p
+        self.pools = pools
+        self._routes = _routes(pools)
+
+    def route(self, method: str, path: str) -> Route | None:
+        """Return what serves a request: the rule with the longest matching path.
+
+        :param method: the request's method.
+        :param path: its path.
+        :returns: the route, ``None`` if no rule matches.
+        """
+        for prefix, route in self._routes.get(_first_segment(path), ()):
+            if path.startswith(prefix) and method in route.rule.methods:
+                return route
+        for prefix, route in self._routes.get("", ()):
+            if path.startswith(prefix) and method in route.rule.methods:
+                return route
+        return None
+
+    def find(self, name: str) -> tuple[pool.Pool, target.Target] | None:
+        """Return the pool and the target of an upstream, ``None`` if there is none.
+
+        :param name: the upstream's name.
+        """
+        for p in self.pools.values():
+            if name in p.targets:
+                return p, p.targets[name]
+        return None
+
+    def _round_trips(self, configuration: model.Configuration) -> pool.RoundTrips:
+        """Return the round trip in milliseconds to each data centre."""
+        delays = {
+            frozenset(link.between): 2 * link.one_way_ms
+            for link in configuration.links
+            if self._region in link.between
+        }
+        regions = {d.name: d.region for d in configuration.data_centres}
+
+        def round_trip_ms(data_centre: str) -> float:
+            region = regions[data_centre]
+            if region == self._region:
+                return 0.0
+            return max(0.001, delays.get(frozenset((region, self._region)), 0.0))
+
+        return round_trip_ms
+
+
+def _first_segment(path: str) -> str:
+    """Return the first segment of a path.
+
+    >>> _first_segment("/paytag/pay")
+    'paytag'
+    """
+    return path[1:].partition("/")[0]
+
+
+def _routes(pools: dict[str, pool.Pool]) -> dict[str, list[tuple[str, Route]]]:
+    """Return the routes by first segment, the longest paths first."""
+    routes: dict[str, list[tuple[str, Route]]] = {}
+    for p in pools.values():
+        for rule in p.service.rules:
+            segment, slash, _ = rule.path[1:].partition("/")
+            key = segment if slash else ""
+            routes.setdefault(key, []).append((rule.path, Route(p, rule)))
+    for found in routes.values():
+        found.sort(key=lambda pair: len(pair[0]), reverse=True)
+    return routes
--- /dev/null
+++ b/waxwingspool/routing/pool.py
@@ -0,0 +1,204 @@
+"""The upstreams of one service, and everything that decides about its requests.
+
+A pool is the state; the decisions are in the other modules of this package.
+"""
+
+import dataclasses
+import time
+from collections.abc import Callable, Container, Iterable
+
+from waxwingspool.config import model
+from waxwingspool.platform import upstream
+from waxwingspool.routing import bucket, ejection, latency, limit, policy, score, target
+
+__all__ = ["Pool", "RoundTrips"]
+
+# Round trip in milliseconds to a data centre, 0 in the own region.
+RoundTrips = Callable[[str], float]
+
+# Quantile of recent latencies after which an answer counts as late.
+PATIENCE_QUANTILE = 0.9
+# Patience and hedge delay before there are enough samples, in milliseconds.
+INITIAL_PATIENCE_MS = 50.0
+# Most hedges that may be saved up.
+HEDGE_BURST = 10.0
+# Most retries that may be saved up, and their share of requests.
+RETRY_BURST = 10.0
+RETRY_SHARE = 0.02
+# Requests held for each slot, as a moving average, above which nothing is hedged or retried.
+SATURATED = 1.25
+# Weight of a new report in that average.
+BUSY_WEIGHT = 0.02
+# Limit on requests in flight for each slot, to start with.
+INITIAL_LIMIT_PER_SLOT = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """What a pool has done.
+
+    :ivar ejected: upstreams taken out of service for failing.
+    """
+
+    attempts: int = 0
+    hedges: int = 0
+    retries: int = 0
+    ejected: int = 0
+
+
+class Pool:
+    """Targets, limit and budgets of one service.
+
+    :param service: the service's configuration.
+    :param round_trips: delays to data centres.
+    :param choose: the policy.
+    :param on_departure: called with a target that has been seen to leave for the first time.
+    :param clock: monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        service: model.Service,
+        round_trips: RoundTrips,
+        choose: policy.Policy,
+        on_departure: Callable[[target.Target], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._choose = choose
+        self._on_departure = on_departure
+        self._clock = clock
+        self._busy = 0.0
+        self._retry_budget = bucket.ShareBucket(RETRY_SHARE, RETRY_BURST)
+        self._hedge_budgets: dict[str, bucket.ShareBucket] = {}
+        self.service = service
+        self.targets: dict[str, target.Target] = {}
+        self.latencies = latency.Latencies(clock)
+        self.counts = Counts()
+        self.configure(service, round_trips)
+        slots = sum(t.slots for t in self.targets.values())
+        self.limit = limit.Limit(slots * INITIAL_LIMIT_PER_SLOT, clock)
+
+    @property
+    def busy(self) -> float:
+        """Requests that upstreams hold for each of their slots, as a moving average."""
+        return self._busy
+
+    def configure(self, service: model.Service, round_trips: RoundTrips) -> None:
+        """Take over a changed configuration; what is known of targets that stay is kept.
+
+        :param service: the service's configuration.
+        :param round_trips: delays to data centres.
+        """
+        now = self._clock()
+        old = self.targets
+        self.service = service
+        self.targets = {}
+        for u in service.upstreams:
+            t = old.get(u.name)
+            if t is None or t.address != u.address:
+                t = target.Target(u.name, service.name, u.address, u.data_centre, u.slots, 0.0, now)
+            t.slots = u.slots
+            t.leaving = u.leaving
+            t.data_centre = u.data_centre
+            t.rtt_ms = round_trips(u.data_centre)
+            self.targets[u.name] = t
+
+    def earn(self, rule: model.Rule) -> None:
+        """Add one request's share to the budgets for hedges and retries.
+
+        :param rule: the request's rule.
+        """
+        self._retry_budget.earn()
+        if rule.hedge_share > 0:
+            self._hedge_budget(rule).earn()
+
+    def choose(self, tried: Container[str] = ()) -> target.Target | None:
+        """Choose a target.
+
+        :param tried: names of targets not to choose.
+        :returns: the target, ``None`` if none is usable.
+        """
+        now = self._clock()
+        usable = [
+            t for t in self.targets.values() if t.name not in tried and score.is_usable(t, now)
+        ]
+        if not usable:
+            usable = self._last_resort(tried)
+        return self._choose(usable, now, self.patience_ms()) if usable else None
+
+    def begin(self, t: target.Target, attempt_id: str) -> None:
+        """Count an attempt as started."""
+        self.counts.attempts += 1
+        target.begin(t, attempt_id, self._clock())
+
+    def finish(self, t: target.Target, attempt_id: str, result: upstream.Result | None) -> None:
+        """Take in how an attempt ended.
+
+        :param t: its target.
+        :param attempt_id: the attempt.
+        :param result: its result, ``None`` if it was cancelled here.
+        """
+        now = self._clock()
+        answered = isinstance(result, upstream.Answer) and result.status < 500
+        took_ms = target.finish(t, attempt_id, now, answered)
+        if answered:
+            self.latencies.record(took_ms)
+            ejection.record_success(t)
+        elif result is not None and not _is_refusal(result):
+            self.counts.ejected += ejection.record_failure(t, list(self.targets.values()), now)
+        if result is None or isinstance(result, upstream.Unclear):
+            return
+        if result.load is not None:
+            self.learn(t, result.load)
+            self.limit.record(result.load.queued / t.slots, _is_refusal(result))
+
+    def learn(self, t: target.Target, load: upstream.Load) -> None:
+        """Take in a report of load, from an answer or a probe.
+
+        :param t: the target that reported.
+        :param load: the report.
+        """
+        held = (load.running + load.queued) / t.slots
+        self._busy += BUSY_WEIGHT * (held - self._busy)
+        if target.learn_load(t, load, self._clock()):
+            self._on_departure(t)
+
+    def patience_ms(self) -> float:
+        """Return how long an answer may take without being late, in milliseconds."""
+        return self.latencies.quantile(PATIENCE_QUANTILE) or INITIAL_PATIENCE_MS
+
+    def may_hedge(self, rule: model.Rule) -> bool:
+        """Return whether a hedge may be sent now, and spend its share if so.
+
+        :param rule: the request's rule.
+        """
+        if rule.hedge_share <= 0 or self._busy > SATURATED:
+            return False
+        return self._hedge_budget(rule).take()
+
+    def may_retry(self) -> bool:
+        """Return whether a retry may be sent now, and spend its share if so."""
+        return self._busy <= SATURATED and self._retry_budget.take()
+
+    def overdue(self) -> Iterable[tuple[target.Target, float]]:
+        """Return the targets whose answers are late, and by how many milliseconds."""
+        now = self._clock()
+        patience_ms = self.patience_ms()
+        late = ((t, target.overdue_ms(t, now, patience_ms)) for t in self.targets.values())
+        return [(t, ms) for t, ms in late if ms > 0]
+
+    def _hedge_budget(self, rule: model.Rule) -> bucket.ShareBucket:
+        """Return the hedge budget of a rule."""
+        if rule.name not in self._hedge_budgets:
+            self._hedge_budgets[rule.name] = bucket.ShareBucket(rule.hedge_share, HEDGE_BURST)
+        return self._hedge_budgets[rule.name]
+
+    def _last_resort(self, tried: Container[str]) -> list[target.Target]:
+        """Return ejected targets, which beat none at all; never those that are leaving."""
+        ts = self.targets.values()
+        return [t for t in ts if t.name not in tried and not t.leaving and t.departed is None]
+
+
+def _is_refusal(result: upstream.Result) -> bool:
+    """Return whether an upstream refused a request by itself, as one that sheds work does."""
+    return isinstance(result, upstream.NotStarted) and result.load is not None
--- /dev/null
+++ b/waxwingspool/serve/__init__.py
@@ -0,0 +1,1 @@
+"""The request path and the process around it."""
