--- a/waxwingspool/once/execute.py
+++ b/waxwingspool/once/execute.py
@@ -259,7 +259,26 @@
         return upstream.NotStarted("the deadline passed before the request was sent")
     one = upstream.Attempt(e.attempt_id, e.deadline_ms)
     left_s = give_up_at - ctx.monotonic()
-    return await attempt.send(ctx.client, ctx.pool, t, request, one, left_s)
+    result = await attempt.send(ctx.client, ctx.pool, t, request, one, left_s)
+    if isinstance(result, upstream.Answer) and result.status >= 500:
+        return await _check_failure(ctx, e, result)
+    return result
+
+
+async def _check_failure(
+    ctx: Context, e: entry.Entry, answer: upstream.Answer
+) -> upstream.Answer | upstream.NotStarted:
+    """Return a failure as *not started* if the upstream confirms that it failed before the work.
+
+    The request has been received and answered, so it can't arrive any more; unlike in recovery, the
+    deadline need not have passed.
+    """
+    reply = await ctx.client.cancel(e.address, e.attempt_id)
+    if reply is None or reply.state is not upstream.CancelState.NEVER_STARTED:
+        return answer
+    if not e.incarnation or reply.incarnation != e.incarnation:
+        return answer
+    return upstream.NotStarted(f"{e.upstream} failed with status {answer.status} before the work")
 
 
 def _moved(e: entry.Entry, t: target.Target) -> entry.Entry:
--- /dev/null
+++ b/waxwingspool/once/tests/test_fuzz.py
@@ -0,0 +1,72 @@
+"""The stateful fuzz with fixed seeds, and proof that it catches a mechanism taken out."""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+import hypothesis
+import structlog
+from hypothesis import stateful
+
+from waxwingspool.once import recovery
+from waxwingspool.once.tests import machine
+
+SETTINGS = hypothesis.settings(
+    max_examples=120,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+# Looks for a failure without making it small.
+HUNT = hypothesis.settings(SETTINGS, max_examples=400, phases=[hypothesis.Phase.generate])
+
+decide = recovery.decide
+
+
+def run(kind, settings=SETTINGS):
+    """Run a state machine."""
+    stateful.run_state_machine_as_test(kind, settings=settings)
+
+
+def without_incarnation(e, fencing, now_ms, clock_error_ms, reply):
+    """Decide as if every reply came from the incarnation that the attempt was sent to."""
+    known = reply.incarnation if reply is not None else ""
+    return decide(dataclasses.replace(e, incarnation=known), fencing, now_ms, clock_error_ms, reply)
+
+
+def without_reply(e, fencing, now_ms, clock_error_ms, reply):
+    """Decide as if an upstream that does not reply had never started."""
+    if reply is None and recovery.overdue(e, now_ms, clock_error_ms):
+        return recovery.Decision.PERMIT
+    return decide(e, fencing, now_ms, clock_error_ms, reply)
+
+
+class FuzzTest(unittest.TestCase):
+    def setUp(self):
+        structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+        self.addCleanup(structlog.reset_defaults)
+
+    def test_upstreams_that_keep_deadlines(self):
+        run(machine.Machine)
+
+    def test_upstreams_that_remember_cancellations(self):
+        run(machine.RememberingMachine)
+
+    def test_upstreams_that_guarantee_nothing(self):
+        run(machine.UnfencedMachine)
+
+    def test_catches_a_decision_without_the_incarnation(self):
+        self.catches("waxwingspool.once.recovery.decide", without_incarnation)
+
+    def test_catches_a_decision_without_a_reply(self):
+        self.catches("waxwingspool.once.recovery.decide", without_reply)
+
+    def test_catches_a_decision_before_the_deadline(self):
+        self.catches("waxwingspool.once.recovery.overdue", lambda e, now_ms, error_ms: True)
+
+    def catches(self, place, broken):
+        """Check that the fuzz fails with a function replaced."""
+        with mock.patch(place, broken), self.assertRaisesRegex(AssertionError, "ran 2 times"):
+            run(machine.Machine, HUNT)
