Spread accepted configurations and prove that none is lost or goes back

Cause: an apply returned after the table had it but before any peer did; with the table and the publishing balancer failing right after, nobody had the content (test test_it_spreads_though_its_balancer_dies_too failed: versions {1} in force after 5 s). Ruled out: gossip being too slow; peers had heard of the version but could not fetch its blobs. Change: a peer fetches the content before it answers an exchange, and apply reports how many peers have it. A restarted balancer serves only after the table, or every peer it can reach, has answered.

--- a/standins/fakes.py
+++ b/standins/fakes.py
@@ -14,7 +14,15 @@
 from waxwingspool import exceptions
 from waxwingspool.platform import table, upstream
 
-__all__ = ["FakeTable", "FakeUpstreams", "Gate", "Run", "TableFaults"]
+__all__ = [
+    "FakeNetwork",
+    "FakeObjects",
+    "FakeTable",
+    "FakeUpstreams",
+    "Gate",
+    "Run",
+    "TableFaults",
+]
 
 
 class Gate:
@@ -278,3 +286,80 @@
     async def probe(self, address):
         await self._gate.pass_through()
         return None if self._world.fakes[address].dead else self._world.load(address)
+
+
+class FakeObjects:
+    """The object store, shared by all balancers."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+        self.down = False
+
+    async def put(self, name: str, content: bytes) -> None:
+        """Store an object."""
+        await asyncio.sleep(0.001)
+        if self.down:
+            raise exceptions.StoreUnavailable("the object store is down")
+        self.objects[name] = content
+
+    async def fetch(self, name: str) -> bytes | None:
+        """Return an object."""
+        await asyncio.sleep(0.001)
+        if self.down:
+            raise exceptions.StoreUnavailable("the object store is down")
+        return self.objects.get(name)
+
+
+class FakeNetwork:
+    """Links between peers, which can be cut."""
+
+    def __init__(self) -> None:
+        self.peers: dict[str, tuple] = {}
+        self.cut: set[str] = set()
+        self.messages = 0
+        self.bytes = 0
+
+    def join(self, address: str, gate: Gate, exchange, blobs) -> None:
+        """Add a peer."""
+        self.peers[address] = (gate, exchange, blobs)
+
+    def seen_by(self, address: str, gate: Gate) -> "_LinkView":
+        """Return the link as one peer sees it."""
+        return _LinkView(self, address, gate)
+
+    async def reach(self, source: str, address: str):
+        """Return a peer if it can be reached within the time limit."""
+        await asyncio.sleep(0.001)
+        if {source, address} & self.cut or address not in self.peers:
+            raise exceptions.PeerUnavailable(f"{address} is cut off")
+        gate, exchange, blobs = self.peers[address]
+        try:
+            async with asyncio.timeout(2.0):
+                await gate.pass_through()
+        except TimeoutError:
+            raise exceptions.PeerUnavailable(f"{address} does not answer") from None
+        return exchange, blobs
+
+
+class _LinkView:
+    """The link as one peer sees it."""
+
+    def __init__(self, network: FakeNetwork, address: str, gate: Gate) -> None:
+        self._network = network
+        self._address = address
+        self._gate = gate
+
+    async def exchange(self, address, digest):
+        await self._gate.pass_through()
+        answer, _ = await self._network.reach(self._address, address)
+        reply = await answer(digest)
+        self._network.messages += 2
+        self._network.bytes += digest.ByteSize() + reply.ByteSize()
+        await self._gate.pass_through()
+        return reply
+
+    async def blobs(self, address, hashes):
+        await self._gate.pass_through()
+        _, blobs = await self._network.reach(self._address, address)
+        await self._gate.pass_through()
+        return blobs(hashes)
--- a/waxwingspool/cli/main.py
+++ b/waxwingspool/cli/main.py
@@ -73,7 +73,7 @@
     path = "/apply" if base is None else f"/apply?base={base}"
     status, answer = asyncio.run(_call(balancer, "POST", path, text))
     if status == 200:
-        typer.echo(f"accepted as version {answer['version']}")
+        typer.echo(f"accepted as version {answer['version']}; {answer['peers']} peers have it")
         return
     typer.echo(answer.get("report") or answer.get("error", "no answer"), err=True)
     codes = {400: EXIT_FINDINGS, 409: EXIT_OUTDATED}
--- a/waxwingspool/config/store.py
+++ b/waxwingspool/config/store.py
@@ -37,9 +37,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """The configuration was accepted as this version."""
+    """The configuration was accepted as this version.
+
+    :ivar peers: how many peers are known to have it.
+    """
 
     head: Head
+    peers: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/waxwingspool/membership/gossip.py
+++ b/waxwingspool/membership/gossip.py
@@ -71,36 +71,40 @@
             await self.round(fanout)
             await asyncio.sleep(NEWS_EVERY_S)
 
-    async def round(self, fanout: int) -> int:
+    async def round(self, fanout: int) -> list[int]:
         """Exchange digests with up to ``fanout`` random peers.
 
         :param fanout: most peers.
-        :returns: how many answered.
+        :returns: the configuration version of each peer that answered.
         """
         self._known.beat()
         addresses = self._known.pick(fanout)
         answered = await asyncio.gather(*(self._exchange(a) for a in addresses))
-        return sum(answered)
+        return [version for version in answered if version is not None]
 
     async def answer(self, digest: peer_pb2.Digest) -> peer_pb2.Digest:
-        """Take in a peer's digest and return this balancer's."""
+        """Take in a peer's digest and return this balancer's.
+
+        A newer configuration is fetched before the answer goes out, so the peer learns from the
+        answer that this balancer has it too.
+        """
         self._count_bytes(self._address_of(digest), digest.ByteSize())
-        await self._merge(digest, wait=False)
+        await self._merge(digest)
         return self._digest()
 
-    async def _exchange(self, address: str) -> bool:
-        """Exchange digests with one peer; return whether it answered."""
+    async def _exchange(self, address: str) -> int | None:
+        """Exchange digests with one peer; return its version, ``None`` if it did not answer."""
         digest = self._digest()
         try:
             reply = await self._peers.exchange(address, digest)
         except exceptions.PeerUnavailable as error:
             logs.logger().debug("peer.unavailable", peer=address, reason=str(error))
-            return False
+            return None
         self._count_bytes(address, digest.ByteSize() + reply.ByteSize())
-        await self._merge(reply, wait=True)
-        return True
+        await self._merge(reply)
+        return reply.config_version
 
-    async def _merge(self, digest: peer_pb2.Digest, wait: bool) -> None:
+    async def _merge(self, digest: peer_pb2.Digest) -> None:
         """Take in a digest; fetch a newer configuration from its sender."""
         for departure in self._known.merge(digest):
             self._on_departure(departure)
@@ -108,13 +112,7 @@
         head = store.Head(digest.config_version, digest.config_root)
         if head.version <= self._head().version:
             return
-        fetch = self._on_head(head, self._address_of(digest))
-        if wait:
-            await fetch
-        else:
-            task = asyncio.create_task(fetch)
-            _RUNNING.add(task)
-            task.add_done_callback(_RUNNING.discard)
+        await self._on_head(head, self._address_of(digest))
 
     def _digest(self) -> peer_pb2.Digest:
         """Return this balancer's digest."""
@@ -132,7 +130,3 @@
     def _address_of(digest: peer_pb2.Digest) -> str:
         """Return the peer address of a digest's sender, which is its first member."""
         return digest.members[0].peer_address if digest.members else ""
-
-
-# Fetches that answers have started; kept so that they are not collected before they end.
-_RUNNING: set[asyncio.Task] = set()
--- a/waxwingspool/serve/node.py
+++ b/waxwingspool/serve/node.py
@@ -7,11 +7,10 @@
 from typing import Any
 
 import aiohttp
-import expression
 
 from waxwingspool import exceptions
-from waxwingspool.config import model, settings, store, tree
-from waxwingspool.membership import gossip, link, members
+from waxwingspool.config import model, settings, store
+from waxwingspool.membership import gossip, link, members, rollout
 from waxwingspool.observe import burn, logs, metrics
 from waxwingspool.once import committer, execute, journal, sweeper
 from waxwingspool.platform import objects, table, upstream, vms
@@ -20,12 +19,8 @@
 
 __all__ = ["Node", "node"]
 
-# Time between two reads of the configuration's head, in seconds.
-HEAD_EVERY_S = 1.0
 # Time between two reads of the VM list, in seconds.
 LIST_EVERY_S = 1.0
-# Peers that must know a new configuration before its apply returns, if there are as many.
-APPLY_PEERS = 3
 # How many of the worst upstreams the burn report names for a service.
 WORST = 3
 
@@ -73,15 +68,19 @@
             heard_at=time.monotonic(),
         )
         self._members = members.Members(own, s.peers, self._rng)
-        self._holder = store.Holder(self._objects, self._peer_blobs, self._configured)
+        self._rollout = rollout.Rollout(
+            self._table, self._objects, self._link, self._members, self._configured, self._rng
+        )
+        self._holder = self._rollout.holder
         self._gossip = gossip.Gossip(
             self._members,
             self._link,
-            lambda: self._holder.head,
-            self._advance,
+            self._rollout.head,
+            self._rollout.advance,
             self._departed_at_peer,
             self._count_peer_bytes,
         )
+        self._rollout.gossip = self._gossip
         self._fleet = fleet.Fleet(s.region, s.policy, self._rng, self._departed_here)
         self._committer = committer.Committer(self._table, self._commit_interval_s)
         self._journal = journal.Journal(self._table, self._committer)
@@ -98,7 +97,7 @@
             rng=self._rng,
         )
         callers = caller.application(
-            self._dispatcher, lambda: self._holder.configuration is not None, self._is_draining
+            self._dispatcher, lambda: self._rollout.ready, self._is_draining
         )
         self._callers = listener.Listener(callers, s.caller_address, s.drain_s)
         operators = operator.application(self._views())
@@ -126,7 +125,7 @@
     def _tree(self) -> supervisor.Supervisor:
         """Return the supervisor tree."""
         platform = supervisor.Supervisor("platform")
-        platform.add("configuration", self._follow_head)
+        platform.add("configuration", self._rollout.run)
         platform.add("vm-list", self._follow_list)
         peers = supervisor.Supervisor("peers")
         peers.add("server", self._serve_peers)
@@ -181,25 +180,17 @@
         finally:
             await server.stop(0.5)
 
-    async def _follow_head(self) -> None:
-        """Read the head of the configuration again and again."""
-        while True:
-            try:
-                self._metrics.store_calls.labels("read").inc()
-                head = await store.read_head(self._table)
-                if head is not None:
-                    await self._advance(head, "")
-            except exceptions.StoreUnavailable as error:
-                logs.logger().warning("table.unavailable", reason=str(error))
-            await asyncio.sleep(HEAD_EVERY_S * (0.5 + self._rng.random()))
-
     async def _follow_list(self) -> None:
         """Read the VM list again and again."""
+        answers = True
         while True:
             try:
                 self._take_list(await self._vms.read())
+                answers = True
             except exceptions.StoreUnavailable as error:
-                logs.logger().warning("vm_list.unavailable", reason=str(error))
+                if answers:
+                    logs.logger().warning("vm_list.unavailable", reason=str(error))
+                answers = False
             await asyncio.sleep(LIST_EVERY_S * (0.5 + self._rng.random()))
 
     def _take_list(self, listed: list[vms.Vm]) -> None:
@@ -210,52 +201,12 @@
             if found is not None and target.mark_departed(found[1], found[1].incarnation):
                 self._departed_here(found[1])
 
-    async def _advance(self, head: store.Head, address: str) -> None:
-        """Bring a newer configuration into force, with blobs from the peer that told of it."""
-        if head.version <= self._holder.head.version:
-            return
-        self._hinted = address
-        try:
-            await self._holder.advance(head)
-        except exceptions.BlobMissing as error:
-            logs.logger().warning("config.incomplete", version=head.version, reason=str(error))
-
-    _hinted = ""
-
-    async def _peer_blobs(self, hashes: list[str]) -> dict[str, bytes]:
-        """Return blobs from peers: first the one that told of them, then others."""
-        found: dict[str, bytes] = {}
-        others = self._members.pick(2)
-        for address in filter(None, [self._hinted, *others]):
-            missing = [h for h in hashes if h not in found]
-            if not missing:
-                break
-            try:
-                found.update(await self._link.blobs(address, missing))
-            except exceptions.PeerUnavailable as error:
-                logs.logger().debug("peer.unavailable", peer=address, reason=str(error))
-        return found
-
     def _configured(self, head: store.Head, configuration: model.Configuration) -> None:
         """Put a configuration into force."""
         self._fleet.configure(configuration)
         self._metrics.config_version.set(head.version)
         if self._settings.measuring:
             self._budget = probing.budget(configuration.measuring, self._members.count())
-        logs.logger().info("config.in_force", version=head.version, root=head.root)
-        self._gossip.spread()
-
-    async def _publish(
-        self, configuration: model.Configuration, base: int | None
-    ) -> expression.Result[store.Accepted, store.Outdated]:
-        """Publish a configuration, put it into force here, and tell some peers at once."""
-        built = tree.build(configuration)
-        known = self._holder.blobs(list(built.blobs))
-        result = await store.publish(self._table, self._objects, built, base, known)
-        if result.is_ok():
-            self._holder.install(result.ok.head, configuration, built)
-            await self._gossip.round(APPLY_PEERS)
-        return result
 
     def _departed_here(self, t: target.Target) -> None:
         """Tell peers about an upstream that was seen here to leave."""
@@ -315,12 +266,12 @@
     def _views(self) -> operator.Views:
         """Return what operators see."""
         return operator.Views(
-            ready=lambda: self._holder.configuration is not None and not self._draining,
+            ready=lambda: self._rollout.ready and not self._draining,
             status=self._status,
             burned=self._burned,
             worst=self._worst,
             holder=self._holder,
-            publish=self._publish,
+            publish=self._rollout.publish,
             counted=self._metrics,
         )
 
--- a/waxwingspool/serve/operator.py
+++ b/waxwingspool/serve/operator.py
@@ -96,7 +96,7 @@
     if result.is_error():
         winner = result.error.head.version
         return _json(409, {"error": f"version {winner} was accepted first", "version": winner})
-    return _json(200, {"version": result.ok.head.version})
+    return _json(200, {"version": result.ok.head.version, "peers": result.ok.peers})
 
 
 def _json(status: int, value: Any) -> blacksheep.Response:
