Add process tests and a first bench

Cause: proofs by in-process fakes can't show kills, freezes and stops of real processes, and no policy had been measured.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of real balancer processes against the stand-ins."""
--- /dev/null
+++ b/bench/main.py
@@ -0,0 +1,67 @@
+"""Runs the bench: ``make bench``, or ``make bench BENCH="--short --only slowness"``."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+from collections.abc import Sequence
+from typing import Annotated
+
+import typer
+
+from bench import row, scenarios
+
+__all__ = ["table"]
+
+# Scenarios in which every policy is measured; the others measure the product alone.
+SIDE_BY_SIDE = ("calm", "slowness", "failing", "overload")
+
+
+def table(rows: Sequence[row.Row]) -> str:
+    """Return rows as a table for people."""
+    head = f"{'scenario':<22}{'policy':<19}{'good/s':>8}{'p50':>8}{'p99':>8}{'p99.9':>8}"
+    head += f"{'refused':>9}{'errors':>8}{'w/d/l':>7}{'extra':>7}{'B/s in':>8}{'B/s out':>8}"
+    head += f"{'probe':>7}{'peer':>8}{'link B/s':>10}{'cpu':>6}"
+    lines = [head]
+    for r in rows:
+        line = f"{r.scenario:<22}{r.name:<19}{r.goodput:>8.0f}{r.p50:>8.1f}{r.p99:>8.1f}"
+        line += f"{r.p999:>8.1f}{r.refused:>9.2%}{r.errors:>8.2%}"
+        line += f"{f'{r.wrong}/{r.doubled}/{r.lost}':>7}{r.extra:>7.1%}{r.region_bytes:>8.0f}"
+        line += f"{r.cross_bytes:>8.0f}{r.probe_work_ms:>7.1f}{r.peer_bytes:>8.0f}"
+        lines.append(f"{line}{r.link_bytes:>10.0f}{r.cpu:>6.0%}")
+    return "\n".join(lines)
+
+
+def main(
+    only: Annotated[str, typer.Option(help="scenarios, separated by commas")] = "",
+    policies: Annotated[str, typer.Option(help="policies, separated by semicolons")] = "",
+    deployment: Annotated[str, typer.Option(help="kwabena, dalatech or both")] = "both",
+    short: Annotated[bool, typer.Option(help="a few seconds for each row")] = False,
+    seconds: Annotated[float, typer.Option(help="measured seconds for each row")] = 10.0,
+    output: Annotated[pathlib.Path, typer.Option(help="folder for JSON and plot")] = pathlib.Path(
+        "build/bench"
+    ),
+) -> None:
+    """Measure and print a table."""
+    seconds = 4.0 if short else seconds
+    names = ["kwabena", "dalatech"] if deployment == "both" else [deployment]
+    output.mkdir(parents=True, exist_ok=True)
+    for name in names:
+        rows = []
+        for scenario, cases in scenarios.SCENARIOS.items():
+            if only and scenario not in only.split(","):
+                continue
+            side_by_side = scenario in SIDE_BY_SIDE and name == "kwabena"
+            chosen = list(scenarios.POLICIES) if side_by_side else ["product"]
+            if policies:
+                chosen = policies.split(";")
+            for case in cases(name, chosen, seconds):
+                rows.append(asyncio.run(row.run(case)))
+                print(table(rows[-1:]).splitlines()[-1], flush=True)
+        print(f"\n{name}\n{table(rows)}\n", flush=True)
+        found = [dataclasses.asdict(r) for r in rows]
+        (output / f"{name}.json").write_text(json.dumps(found, indent=2))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/standins/site.py
+++ b/standins/site.py
@@ -258,19 +258,21 @@
         self._start_standin("platform", "standins.platform", document)
 
     def _start_upstreams(self) -> None:
-        """Start one process of upstreams for each region."""
+        """Start two processes of upstreams for each region."""
         for region in range(1, len(self._regions) + 1):
             plans = []
             for service in self._spec.config["services"]:
                 for u in service["upstreams"]:
                     if self._region_number(u["data_centre"]) == region:
                         plans.append(self._plan(service["name"], u, len(plans)))
-            document = {
-                "upstreams": plans,
-                "network": self._network(region),
-                "ledger": str(self._path / f"ledger-{region}"),
-            }
-            self._start_standin(f"upstreams-{region}", "standins.upstream", document)
+            for half in range(2):
+                name = f"{region}-{half}"
+                document = {
+                    "upstreams": plans[half::2],
+                    "network": self._network(region),
+                    "ledger": str(self._path / f"ledger-{name}"),
+                }
+                self._start_standin(f"upstreams-{name}", "standins.upstream", document)
 
     def _plan(self, service: str, u: dict, n: int) -> dict:
         """Return the plan of one upstream."""
@@ -283,17 +285,19 @@
         path = self._path / f"{name}.json"
         path.write_text(json.dumps(document))
         process = self._start(name, ["-m", module, str(path)], ROOT, subprocess.PIPE)
-        process.stdout.readline()
+        with process.stdout:
+            process.stdout.readline()
 
     def _start(self, name: str, arguments: list[str], code: pathlib.Path, stdout=None):
         """Start a Python process that logs to a file."""
         log = (self._path / f"{name}.log").open("ab")
         environment = {**os.environ, "PYTHONPATH": str(code)}
-        self._processes[name] = subprocess.Popen(
-            [sys.executable, *arguments],
-            cwd=code,
-            env=environment,
-            stdout=stdout if stdout is not None else log,
-            stderr=log,
-        )
+        with log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=code,
+                env=environment,
+                stdout=stdout if stdout is not None else log,
+                stderr=log,
+            )
         return self._processes[name]
--- /dev/null
+++ b/standins/small.py
@@ -0,0 +1,27 @@
+"""Small sites for process tests: the example configurations with fewer upstreams."""
+
+import copy
+import json
+import pathlib
+from typing import Any
+
+__all__ = ["small"]
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+
+
+def small(name: str = "kwabena", upstreams: int = 4) -> dict[str, Any]:
+    """Return an example configuration with at most some upstreams for each service.
+
+    :param name: name of the example.
+    :param upstreams: the most upstreams for each service.
+    :returns: the configuration as a JSON value.
+
+    >>> [len(s["upstreams"]) for s in small()["services"]]
+    [4, 4, 4]
+    """
+    config = json.loads((EXAMPLES / f"{name}.json").read_text())
+    config = copy.deepcopy(config)
+    for service in config["services"]:
+        service["upstreams"] = service["upstreams"][:upstreams]
+    return config
