Budget hedges by time, fix the limit, and keep garbage collection out of the tail

Cause: (1) the limit fell when any one upstream had a queue, so it refused 15% at 80% of capacity; (2) hedges were budgeted by number, spent at the 90th percentile of latencies that left out the attempts hedges had beaten, so tokens were gone when the slowest requests came; (3) full garbage collections stalled balancers, stand-ins and senders. Ruled out: probes (the baseline with probes on was unchanged) and processor saturation. Change: the limit follows the average load of all upstreams; a hedge costs the time it takes, its delay is a quantile that is steered to use up the budget, and it goes to an upstream with a free slot; beaten attempts count as latencies; objects made at the start are frozen.

--- a/bench/load.py
+++ b/bench/load.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import gc
 import json
 import pathlib
 import pickle
@@ -81,6 +82,7 @@
 
 def main(path: str) -> None:
     """Run the streams that a JSON file lists and write what callers were told beside it."""
+    gc.disable()
     document = json.loads(pathlib.Path(path).read_text())
     streams = [Stream(**s) for s in document["streams"]]
     told = asyncio.run(run(streams, document["seconds"], document["seed"]))
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -27,6 +27,8 @@
 POLICIES: dict[str, tuple[dict[str, Any], bool]] = {
     "product": ({}, True),
     "product, budget 0": ({"measuring": False}, True),
+    "lif+hedge": ({"policy": "least-in-flight", "measuring": False}, True),
+    "lif+measuring": ({"policy": "least-in-flight"}, False),
     "random": ({"policy": "random", "measuring": False}, False),
     "round-robin": ({"policy": "round-robin", "measuring": False}, False),
     "two-choices": ({"policy": "two-choices", "measuring": False}, False),
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import gc
 import itertools
 import json
 import pathlib
@@ -169,6 +170,7 @@
 
 def main(path: str) -> None:
     """Serve the platform that a JSON file describes."""
+    gc.disable()
     document = json.loads(pathlib.Path(path).read_text())
     platform = Platform(network.Network(**document["network"]))
     platform._lists.append((0.0, document["vms"]))
--- a/standins/site.py
+++ b/standins/site.py
@@ -20,11 +20,19 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
+# Ports given out by this process, so that none is given out twice.
+_GIVEN: set[int] = set()
+
+
 def free_port(ip: str) -> int:
-    """Return a port that is free at an address now."""
-    with contextlib.closing(socket.socket()) as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+    """Return a port that is free at an address now and was not returned before."""
+    while True:
+        with contextlib.closing(socket.socket()) as s:
+            s.bind((ip, 0))
+            port = s.getsockname()[1]
+        if port not in _GIVEN:
+            _GIVEN.add(port)
+            return port
 
 
 @dataclasses.dataclass(slots=True)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import gc
 import json
 import pathlib
 import random
@@ -298,6 +299,7 @@
 
 def main(path: str) -> None:
     """Serve the upstreams that a JSON file lists."""
+    gc.disable()
     document = json.loads(pathlib.Path(path).read_text())
     plans = [
         Plan(p["name"], p["address"], p["seed"], Behaviour(**p["behaviour"]))
--- a/waxwingspool/cli/main.py
+++ b/waxwingspool/cli/main.py
@@ -1,6 +1,7 @@
 """The command ``waxwingspool``."""
 
 import asyncio
+import gc
 import json
 import pathlib
 import signal
@@ -19,6 +20,8 @@
 EXIT_FINDINGS = 1
 EXIT_OUTDATED = 2
 EXIT_UNKNOWN = 3
+# Objects made since the last garbage collection that start the next one.
+YOUNG_OBJECTS = 20_000
 # Longest wait for a balancer's operator interface, in seconds.
 TIMEOUT_S = 30.0
 
@@ -141,12 +144,20 @@
     from waxwingspool.serve import node
 
     balancer = node.node(s)
+    _calm_collector()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, balancer.stop)
     await balancer.run()
 
 
+def _calm_collector() -> None:
+    """Keep what was made at the start out of garbage collections, which would stall requests."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS, 50, 100)
+
+
 def _read(file: pathlib.Path) -> bytes:
     """Return a file's content, or end with a message."""
     try:
--- a/waxwingspool/observe/metrics.py
+++ b/waxwingspool/observe/metrics.py
@@ -1,10 +1,11 @@
 """Metrics of one process, for Prometheus to collect."""
 
 import dataclasses
+import functools
 
 import prometheus_client
 
-__all__ = ["Metrics", "create"]
+__all__ = ["Metrics", "create", "labelled"]
 
 # Upper bounds of the latency buckets, in seconds.
 LATENCY_BUCKETS_S = (
@@ -68,3 +69,13 @@
             "waxwingspool_config_version", "Configuration version in force", registry=registry
         ),
     )
+
+
+@functools.cache
+def labelled(metric, *values: str):
+    """Return the child of a metric for some label values, kept for the next call.
+
+    :param metric: a counter or histogram.
+    :param values: the label values; there must be few of them.
+    """
+    return metric.labels(*values)
--- a/waxwingspool/routing/bucket.py
+++ b/waxwingspool/routing/bucket.py
@@ -46,32 +46,44 @@
 
 
 class ShareBucket:
-    """Tokens that refill with each request, so extra work stays a share of the work.
+    """Keeps extra work a share of the work, both measured in time.
 
-    :param share: tokens for each request.
-    :param burst: the most tokens held.
+    :param share: extra work allowed for each unit of work.
+    :param burst: the most extra work saved up.
+
+    What extra work takes is known only when it ends, so the balance may fall below zero; nothing
+    more is allowed until it is positive again. Over any window the extra work is at most
+    ``share`` times the work, plus the burst, plus what was under way when the balance fell to zero.
 
-    >>> bucket = ShareBucket(0.5, 2.0)
-    >>> bucket.earn()
-    >>> bucket.take()
+    >>> bucket = ShareBucket(0.5, 20.0)
+    >>> bucket.may_spend()
     False
-    >>> bucket.earn()
-    >>> bucket.take()
+    >>> bucket.earn(10.0)
+    >>> bucket.may_spend()
     True
+    >>> bucket.spend(6.0)
+    >>> bucket.may_spend()
+    False
     """
 
     def __init__(self, share: float, burst: float) -> None:
         self._share = share
         self._burst = burst
-        self._tokens = 0.0
+        self._balance = 0.0
 
-    def earn(self) -> None:
-        """Add the share of one request."""
-        self._tokens = min(self._burst, self._tokens + self._share)
+    @property
+    def fill(self) -> float:
+        """The balance as a share of the burst."""
+        return self._balance / self._burst
 
-    def take(self) -> bool:
-        """Spend a token if there is one; return whether it was spent."""
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+    def earn(self, work: float) -> None:
+        """Add the share of some work."""
+        self._balance = min(self._burst, self._balance + self._share * work)
+
+    def may_spend(self) -> bool:
+        """Return whether extra work may begin."""
+        return self._balance > 0.0
+
+    def spend(self, work: float) -> None:
+        """Take extra work that was done."""
+        self._balance -= work
--- a/waxwingspool/routing/hedged.py
+++ b/waxwingspool/routing/hedged.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 import time
 from collections.abc import Callable
 
@@ -15,13 +16,20 @@
 
 __all__ = ["Hedged", "execute"]
 
-# Quantile of recent latencies after which a hedge is sent.
-HEDGE_QUANTILE = 0.9
 # Shortest delay before a hedge, in milliseconds.
 LEAST_HEDGE_MS = 1.0
 # Upstreams that are tried in turn when each refuses the connection.
 MOST_UNREACHABLE = 3
 
+
+class Kind(enum.StrEnum):
+    """Why an attempt is made."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
 # Counts an extra attempt of a kind: "hedge" or "retry".
 CountExtra = Callable[[str], None]
 
@@ -80,7 +88,7 @@
 
     async def outcome(self) -> outcomes.Outcome:
         """Return the outcome of the request."""
-        if not self._start():
+        if not self._start(self._pool.choose(), Kind.FIRST):
             return self._failed()
         hedge_at = time.monotonic() + self._hedge_delay_s()
         while self._tasks:
@@ -111,33 +119,45 @@
         for task in self._tasks:
             task.cancel()
 
-    def _start(self) -> bool:
-        """Start an attempt at an upstream not tried yet; return whether there was one."""
-        t = self._pool.choose(self._tried)
+    def _start(self, t: target.Target | None, kind: Kind) -> bool:
+        """Start an attempt at a target; return whether there was one."""
         if t is None:
             return False
         self._tried.add(t.name)
-        self._tasks.add(asyncio.create_task(self._attempt(t)))
+        self._tasks.add(asyncio.create_task(self._attempt(t, kind)))
+        if kind is not Kind.FIRST:
+            self._count_extra(kind.value)
         return True
 
-    async def _attempt(self, t: target.Target) -> upstream.Result:
-        """Make one attempt."""
+    async def _attempt(self, t: target.Target, kind: Kind) -> upstream.Result:
+        """Make one attempt and account for its time."""
         one = upstream.Attempt(attempt.new_id(), self._deadline_ms)
-        left_s = self._give_up_at - time.monotonic()
-        return await attempt.send(self._client, self._pool, t, self._request, one, left_s)
+        started_at = time.monotonic()
+        left_s = self._give_up_at - started_at
+        try:
+            return await attempt.send(self._client, self._pool, t, self._request, one, left_s)
+        finally:
+            self._account(kind, (time.monotonic() - started_at) * 1000)
+
+    def _account(self, kind: Kind, work_ms: float) -> None:
+        """Add to or take from the budgets for extra work."""
+        if kind is Kind.FIRST:
+            self._pool.earn(self._rule, work_ms)
+        elif kind is Kind.HEDGE:
+            self._pool.spend_hedge(self._rule, work_ms)
+        else:
+            self._pool.spend_retry(work_ms)
 
     def _hedge_delay_s(self) -> float:
         """Return how long to wait before a hedge, in seconds."""
         if self._rule.hedge_share <= 0 or not self._resendable:
             return self._rule.deadline_ms / 1000
-        quantile = self._pool.latencies.quantile(HEDGE_QUANTILE)
-        return max(LEAST_HEDGE_MS, quantile or pool.INITIAL_PATIENCE_MS) / 1000
+        return max(LEAST_HEDGE_MS, self._pool.hedge_delay_ms()) / 1000
 
     def _hedge(self) -> None:
-        """Send a hedge if the budget allows it."""
-        if self._resendable and self._pool.may_hedge(self._rule) and self._start():
-            self._pool.counts.hedges += 1
-            self._count_extra("hedge")
+        """Send a hedge if the budget allows it and an upstream has a free slot."""
+        if self._resendable and self._pool.may_hedge(self._rule):
+            self._start(self._pool.choose_free(self._tried), Kind.HEDGE)
 
     def _retry(self) -> None:
         """Send a retry after every attempt has failed, if the rule and the budget allow it."""
@@ -146,12 +166,11 @@
         if isinstance(self._failure, upstream.NotStarted) and self._failure.load is None:
             self._unreachable += 1
             if self._unreachable < MOST_UNREACHABLE:
-                self._start()
+                self._start(self._pool.choose(self._tried), Kind.FIRST)
             return
-        if self._retries < self._rule.retries and self._pool.may_retry() and self._start():
+        if self._retries < self._rule.retries and self._pool.may_retry():
             self._retries += 1
-            self._pool.counts.retries += 1
-            self._count_extra("retry")
+            self._start(self._pool.choose(self._tried), Kind.RETRY)
 
     def _take_failure(self, result: upstream.Result) -> None:
         """Remember a failure; one that may have run counts before one that has not."""
--- a/waxwingspool/routing/limit.py
+++ b/waxwingspool/routing/limit.py
@@ -17,8 +17,8 @@
 DECREASE = 0.9
 # Shortest time between two decreases, in seconds.
 DECREASE_EVERY_S = 0.05
-# Queued requests for each slot above which an upstream's queue is long.
-LONG_QUEUE = 1.5
+# Requests that upstreams hold for each slot, on average, above which the limit falls.
+MOST_HELD = 3.5
 
 
 class Limit:
@@ -59,13 +59,14 @@
         """Count a request out."""
         self._in_flight -= 1
 
-    def record(self, queued_per_slot: float, shed: bool) -> None:
+    def record(self, held_per_slot: float, shed: bool) -> None:
         """Adapt to an answer.
 
-        :param queued_per_slot: requests that waited at the upstream, for each of its slots.
+        :param held_per_slot: requests that the service's upstreams hold for each of their slots, on
+            average; one slow upstream alone must not lower the limit.
         :param shed: whether the upstream refused the request.
         """
-        if shed or queued_per_slot > LONG_QUEUE:
+        if shed or held_per_slot > MOST_HELD:
             self._decrease()
         elif self._in_flight * 2 >= self._limit:
             self._limit += 1.0 / self._limit
--- a/waxwingspool/routing/pool.py
+++ b/waxwingspool/routing/pool.py
@@ -20,13 +20,19 @@
 PATIENCE_QUANTILE = 0.9
 # Patience and hedge delay before there are enough samples, in milliseconds.
 INITIAL_PATIENCE_MS = 50.0
-# Most hedges that may be saved up.
-HEDGE_BURST = 10.0
-# Most retries that may be saved up, and their share of requests.
-RETRY_BURST = 10.0
-RETRY_SHARE = 0.02
+# Most extra work that may be saved up for hedges, and for retries, in milliseconds.
+HEDGE_BURST_MS = 300.0
+RETRY_BURST_MS = 300.0
+# Extra work that retries may add, as a share of the work.
+RETRY_SHARE = 0.01
+# Bounds of the quantile of recent latencies after which a hedge is sent, and how fast it moves.
+LEAST_QUANTILE = 0.80
+MOST_QUANTILE = 0.99
+QUANTILE_STEP = 0.0005
+# Balance of the hedge budget, as a share of its burst, that the quantile is steered to.
+STEERED_FILL = 0.3
 # Requests held for each slot, as a moving average, above which nothing is hedged or retried.
-SATURATED = 1.25
+SATURATED = 2.0
 # Weight of a new report in that average.
 BUSY_WEIGHT = 0.02
 # Limit on requests in flight for each slot, to start with.
@@ -68,7 +74,8 @@
         self._on_departure = on_departure
         self._clock = clock
         self._busy = 0.0
-        self._retry_budget = bucket.ShareBucket(RETRY_SHARE, RETRY_BURST)
+        self._quantile = 0.95
+        self._retry_budget = bucket.ShareBucket(RETRY_SHARE, RETRY_BURST_MS)
         self._hedge_budgets: dict[str, bucket.ShareBucket] = {}
         self.service = service
         self.targets: dict[str, target.Target] = {}
@@ -103,15 +110,6 @@
             t.rtt_ms = round_trips(u.data_centre)
             self.targets[u.name] = t
 
-    def earn(self, rule: model.Rule) -> None:
-        """Add one request's share to the budgets for hedges and retries.
-
-        :param rule: the request's rule.
-        """
-        self._retry_budget.earn()
-        if rule.hedge_share > 0:
-            self._hedge_budget(rule).earn()
-
     def choose(self, tried: Container[str] = ()) -> target.Target | None:
         """Choose a target.
 
@@ -119,13 +117,19 @@
         :returns: the target, ``None`` if none is usable.
         """
         now = self._clock()
-        usable = [
-            t for t in self.targets.values() if t.name not in tried and score.is_usable(t, now)
-        ]
-        if not usable:
-            usable = self._last_resort(tried)
+        usable = self._usable(tried, now) or self._last_resort(tried)
         return self._choose(usable, now, self.patience_ms()) if usable else None
 
+    def choose_free(self, tried: Container[str]) -> target.Target | None:
+        """Choose a target that is taken to have a free slot, for a hedge.
+
+        :param tried: names of targets not to choose.
+        :returns: the target, ``None`` if none is free.
+        """
+        now = self._clock()
+        free = [t for t in self._usable(tried, now) if score.load(t, now) < t.slots]
+        return self._choose(free, now, self.patience_ms()) if free else None
+
     def begin(self, t: target.Target, attempt_id: str) -> None:
         """Count an attempt as started."""
         self.counts.attempts += 1
@@ -141,8 +145,11 @@
         now = self._clock()
         answered = isinstance(result, upstream.Answer) and result.status < 500
         took_ms = target.finish(t, attempt_id, now, answered)
-        if answered:
+        if answered or result is None:
+            # An attempt that a hedge has beaten took at least this long; leaving it out would make
+            # the tail look shorter than it is.
             self.latencies.record(took_ms)
+        if answered:
             ejection.record_success(t)
         elif result is not None and not _is_refusal(result):
             self.counts.ejected += ejection.record_failure(t, list(self.targets.values()), now)
@@ -150,7 +157,7 @@
             return
         if result.load is not None:
             self.learn(t, result.load)
-            self.limit.record(result.load.queued / t.slots, _is_refusal(result))
+            self.limit.record(self._busy, _is_refusal(result))
 
     def learn(self, t: target.Target, load: upstream.Load) -> None:
         """Take in a report of load, from an answer or a probe.
@@ -167,18 +174,49 @@
         """Return how long an answer may take without being late, in milliseconds."""
         return self.latencies.quantile(PATIENCE_QUANTILE) or INITIAL_PATIENCE_MS
 
+    def hedge_delay_ms(self) -> float:
+        """Return how long to wait before a hedge, in milliseconds.
+
+        It is a quantile of recent latencies, steered so that hedges just use up their budget.
+        """
+        return self.latencies.quantile(self._quantile) or INITIAL_PATIENCE_MS
+
     def may_hedge(self, rule: model.Rule) -> bool:
-        """Return whether a hedge may be sent now, and spend its share if so.
+        """Return whether a hedge may be sent now.
 
         :param rule: the request's rule.
         """
         if rule.hedge_share <= 0 or self._busy > SATURATED:
             return False
-        return self._hedge_budget(rule).take()
+        return self._hedge_budget(rule).may_spend()
 
     def may_retry(self) -> bool:
-        """Return whether a retry may be sent now, and spend its share if so."""
-        return self._busy <= SATURATED and self._retry_budget.take()
+        """Return whether a retry may be sent now."""
+        return self._busy <= SATURATED and self._retry_budget.may_spend()
+
+    def earn(self, rule: model.Rule, work_ms: float) -> None:
+        """Add a request's share to the budgets for extra work.
+
+        :param rule: the request's rule.
+        :param work_ms: the time of its first attempt, in milliseconds.
+        """
+        self._retry_budget.earn(work_ms)
+        if rule.hedge_share <= 0:
+            return
+        budget = self._hedge_budget(rule)
+        budget.earn(work_ms)
+        step = -QUANTILE_STEP if budget.fill > STEERED_FILL else QUANTILE_STEP
+        self._quantile = min(MOST_QUANTILE, max(LEAST_QUANTILE, self._quantile + step))
+
+    def spend_hedge(self, rule: model.Rule, work_ms: float) -> None:
+        """Take the time of a hedge from its budget."""
+        self.counts.hedges += 1
+        self._hedge_budget(rule).spend(work_ms)
+
+    def spend_retry(self, work_ms: float) -> None:
+        """Take the time of a retry from its budget."""
+        self.counts.retries += 1
+        self._retry_budget.spend(work_ms)
 
     def overdue(self) -> Iterable[tuple[target.Target, float]]:
         """Return the targets whose answers are late, and by how many milliseconds."""
@@ -187,10 +225,15 @@
         late = ((t, target.overdue_ms(t, now, patience_ms)) for t in self.targets.values())
         return [(t, ms) for t, ms in late if ms > 0]
 
+    def _usable(self, tried: Container[str], now: float) -> list[target.Target]:
+        """Return the targets that may get new work."""
+        ts = self.targets.values()
+        return [t for t in ts if t.name not in tried and score.is_usable(t, now)]
+
     def _hedge_budget(self, rule: model.Rule) -> bucket.ShareBucket:
         """Return the hedge budget of a rule."""
         if rule.name not in self._hedge_budgets:
-            self._hedge_budgets[rule.name] = bucket.ShareBucket(rule.hedge_share, HEDGE_BURST)
+            self._hedge_budgets[rule.name] = bucket.ShareBucket(rule.hedge_share, HEDGE_BURST_MS)
         return self._hedge_budgets[rule.name]
 
     def _last_resort(self, tried: Container[str]) -> list[target.Target]:
--- a/waxwingspool/serve/dispatch.py
+++ b/waxwingspool/serve/dispatch.py
@@ -75,7 +75,6 @@
     ) -> outcomes.Outcome:
         """Run a request that has been let in."""
         rule = route.rule
-        route.pool.earn(rule)
         if rule.idempotent:
             return await hedged.execute(
                 self.client, route.pool, rule, request, self._count_extra(route)
@@ -98,8 +97,8 @@
         """Count an outcome in metrics and for the burn report."""
         service, rule = route.pool.service.name, route.rule
         name = outcome_name(outcome)
-        self.counted.requests.labels(service, rule.name, name).inc()
-        self.counted.latency.labels(service, rule.name).observe(took_s)
+        metrics.labelled(self.counted.requests, service, rule.name, name).inc()
+        metrics.labelled(self.counted.latency, service, rule.name).observe(took_s)
         self.burned.record(service, rule, took_s * 1000, _is_good(outcome))
 
 
