--- a/standins/site.py
+++ b/standins/site.py
@@ -20,6 +20,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
+# Bandwidth of the link between regions, shared by the two processes of a region.
+LINK_BITS_PER_S = 30e6
 # Ports given out by this process, so that none is given out twice.
 _GIVEN: set[int] = set()
 
@@ -277,7 +279,7 @@
                 name = f"{region}-{half}"
                 document = {
                     "upstreams": plans[half::2],
-                    "network": self._network(region),
+                    "network": {**self._network(region), "bits_per_s": LINK_BITS_PER_S / 2},
                     "ledger": str(self._path / f"ledger-{name}"),
                 }
                 self._start_standin(f"upstreams-{name}", "standins.upstream", document)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -78,7 +78,8 @@
 
     def __init__(self, plan: Plan, net: network.Network, ledger) -> None:
         self._name = plan.name
-        self._net = net
+        # The copy counts its own bytes and shares the link.
+        self._net = dataclasses.replace(net, crossed_bytes=0)
         self._ledger = ledger
         self._rng = random.Random(plan.seed)
         self._running = 0
--- a/waxwingspool/once/tests/machine.py
+++ b/waxwingspool/once/tests/machine.py
@@ -92,7 +92,9 @@
         store = self.table.seen_by(gate)
         balancer = Balancer(gate, None)
         choose = policy.expected(random.Random(1))
-        p = pool.Pool(service(self.fencing), lambda dc: 0.0, choose, lambda t: None, self.loop.time)
+        p = pool.Pool(
+            service(self.fencing), lambda dc: pool.INSIDE, choose, lambda t: None, 1, self.loop.time
+        )
         for t in p.targets.values():
             t.incarnation = str(self.upstreams.fakes[t.address].incarnation)
         writer = committer.Committer(store, lambda: 0.01, self.loop.time)
--- a/waxwingspool/routing/attempt.py
+++ b/waxwingspool/routing/attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one target, counted in the target's pool."""
 
+import dataclasses
 import secrets
 import time
 
@@ -43,6 +44,8 @@
     :param timeout_s: longest wait for the whole answer.
     :returns: the result.
     """
+    if t.pacer is not None and not isinstance(request.body, bytes):
+        request = dataclasses.replace(request, body=t.pacer.pace(request.body))
     p.begin(t, attempt.id)
     result: upstream.Result | None = None
     try:
--- a/waxwingspool/routing/fleet.py
+++ b/waxwingspool/routing/fleet.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable
 
 from waxwingspool.config import model
-from waxwingspool.routing import policy, pool, target
+from waxwingspool.routing import pacing, policy, pool, target
 
 __all__ = ["Fleet", "Route"]
 
+# Round trip assumed to another region where none is configured, in milliseconds.
+LEAST_CROSSING_MS = 0.001
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
@@ -50,15 +53,16 @@
 
         :param configuration: the whole configuration.
         """
-        round_trip_ms = self._round_trips(configuration)
+        paths = self._paths(configuration)
+        balancers = configuration.measuring.balancers
         pools: dict[str, pool.Pool] = {}
         for service in configuration.services:
             p = self.pools.get(service.name)
             if p is None:
                 choose = self._policy(self._rng)
-                p = pool.Pool(service, round_trip_ms, choose, self._on_departure, self._clock)
+                p = pool.Pool(service, paths, choose, self._on_departure, balancers, self._clock)
             else:
-                p.configure(service, round_trip_ms)
+                p.configure(service, paths, balancers)
             pools[service.name] = p
         self.pools = pools
         self._routes = _routes(pools)
@@ -88,22 +92,27 @@
                 return p, p.targets[name]
         return None
 
-    def _round_trips(self, configuration: model.Configuration) -> pool.RoundTrips:
-        """Return the round trip in milliseconds to each data centre."""
-        delays = {
-            frozenset(link.between): 2 * link.one_way_ms
+    def _paths(self, configuration: model.Configuration) -> pool.Paths:
+        """Return how each data centre is reached from this region."""
+        balancers = configuration.measuring.balancers
+        links = {
+            frozenset(link.between): pool.Path(
+                max(LEAST_CROSSING_MS, 2 * link.one_way_ms),
+                pacing.Pacer(link.bits_per_s / 8 * link.upload_share / balancers),
+            )
             for link in configuration.links
             if self._region in link.between
         }
         regions = {d.name: d.region for d in configuration.data_centres}
+        unknown = pool.Path(LEAST_CROSSING_MS, None)
 
-        def round_trip_ms(data_centre: str) -> float:
+        def path(data_centre: str) -> pool.Path:
             region = regions[data_centre]
             if region == self._region:
-                return 0.0
-            return max(0.001, delays.get(frozenset((region, self._region)), 0.0))
+                return pool.INSIDE
+            return links.get(frozenset((region, self._region)), unknown)
 
-        return round_trip_ms
+        return path
 
 
 def _first_segment(path: str) -> str:
--- a/waxwingspool/routing/pool.py
+++ b/waxwingspool/routing/pool.py
@@ -9,17 +9,35 @@
 
 from waxwingspool.config import model
 from waxwingspool.platform import upstream
-from waxwingspool.routing import bucket, ejection, latency, limit, policy, score, target
+from waxwingspool.routing import bucket, ejection, latency, limit, pacing, policy, score, target
 
-__all__ = ["Pool", "RoundTrips"]
+__all__ = ["INSIDE", "Path", "Paths", "Pool"]
 
-# Round trip in milliseconds to a data centre, 0 in the own region.
-RoundTrips = Callable[[str], float]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Path:
+    """How a data centre is reached.
+
+    :ivar rtt_ms: round trip in milliseconds, 0 in the own region.
+    :ivar pacer: paces uploads, ``None`` in the own region.
+    """
+
+    rtt_ms: float
+    pacer: pacing.Pacer | None
+
+
+# The path to data centres of the own region.
+INSIDE = Path(0.0, None)
+
+# Returns the path to a data centre.
+Paths = Callable[[str], Path]
 
 # Quantile of recent latencies after which an answer counts as late.
 PATIENCE_QUANTILE = 0.9
 # Patience and hedge delay before there are enough samples, in milliseconds.
 INITIAL_PATIENCE_MS = 50.0
+# Connections of this balancer's share that are left for probes and cancellations.
+SPARE_CONNECTIONS = 2
 # Mean time of an answer assumed before the first one, and the weight of a new one.
 INITIAL_MEAN_MS = 10.0
 MEAN_WEIGHT = 0.02
@@ -61,18 +79,20 @@
     """Targets, limit and budgets of one service.
 
     :param service: the service's configuration.
-    :param round_trips: delays to data centres.
+    :param paths: how data centres are reached.
     :param choose: the policy.
     :param on_departure: called with a target that has been seen to leave for the first time.
+    :param balancers: the most balancers that share an upstream's connections.
     :param clock: monotonic time in seconds.
     """
 
     def __init__(
         self,
         service: model.Service,
-        round_trips: RoundTrips,
+        paths: Paths,
         choose: policy.Policy,
         on_departure: Callable[[target.Target], None],
+        balancers: int = 1,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._choose = choose
@@ -87,7 +107,7 @@
         self.targets: dict[str, target.Target] = {}
         self.latencies = latency.Latencies(clock)
         self.counts = Counts()
-        self.configure(service, round_trips)
+        self.configure(service, paths, balancers)
         slots = sum(t.slots for t in self.targets.values())
         self.limit = limit.Limit(slots * INITIAL_LIMIT_PER_SLOT, clock)
 
@@ -96,11 +116,12 @@
         """Requests that upstreams hold for each of their slots, as a moving average."""
         return self._busy
 
-    def configure(self, service: model.Service, round_trips: RoundTrips) -> None:
+    def configure(self, service: model.Service, paths: Paths, balancers: int) -> None:
         """Take over a changed configuration; what is known of targets that stay is kept.
 
         :param service: the service's configuration.
-        :param round_trips: delays to data centres.
+        :param paths: how data centres are reached.
+        :param balancers: the most balancers that share an upstream's connections.
         """
         now = self._clock()
         old = self.targets
@@ -112,8 +133,10 @@
                 t = target.Target(u.name, service.name, u.address, u.data_centre, u.slots, 0.0, now)
             t.slots = u.slots
             t.leaving = u.leaving
+            t.most_in_flight = max(1, u.connections // balancers - SPARE_CONNECTIONS)
             t.data_centre = u.data_centre
-            t.rtt_ms = round_trips(u.data_centre)
+            path = paths(u.data_centre)
+            t.rtt_ms, t.pacer = path.rtt_ms, path.pacer
             self.targets[u.name] = t
 
     def choose(self, tried: Container[str] = ()) -> target.Target | None:
@@ -252,7 +275,7 @@
     def _last_resort(self, tried: Container[str]) -> list[target.Target]:
         """Return ejected targets, which beat none at all; never those that are leaving."""
         ts = self.targets.values()
-        return [t for t in ts if t.name not in tried and not t.leaving and t.departed is None]
+        return [t for t in ts if t.name not in tried and score.may_serve(t)]
 
 
 def _is_refusal(result: upstream.Result) -> bool:
--- a/waxwingspool/routing/probing.py
+++ b/waxwingspool/routing/probing.py
@@ -19,8 +19,9 @@
 STALE_S = 2.0
 # What a probe takes on the wire, both ways with headers of all layers, in bytes.
 PROBE_BYTES = 700
-# Time over which a budget may be saved up, in seconds.
-BURST_S = 0.1
+# Length of the windows over which spending is within the budget, in seconds. What a bucket holds is
+# taken off its refill, so that this is so for every window of this length or longer.
+WINDOW_S = 60.0
 # Most probes under way at once.
 MOST_PROBES = 8
 
@@ -51,8 +52,8 @@
     share = 1 / max(measuring.balancers, balancers)
 
     def spend(rate: float, least: float) -> bucket.TokenBucket:
-        burst = max(least, rate * share * BURST_S)
-        return bucket.TokenBucket(rate * share, burst, clock)
+        burst = max(least, rate * share * LOOK_EVERY_S)
+        return bucket.TokenBucket(max(0.0, rate * share - burst / WINDOW_S), burst, clock)
 
     return Budget(
         spend(measuring.region_bytes_per_s, PROBE_BYTES),
@@ -70,6 +71,7 @@
     :param spend: returns this balancer's budget, ``None`` to spend nothing.
     :param counted: the metrics.
     :param rng: source of random numbers.
+    :param clock: monotonic time in seconds.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         spend: Callable[[], Budget | None],
         counted: metrics.Metrics,
         rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._services = services
         self._client = client
         self._spend = spend
@@ -101,12 +105,12 @@
         spend = self._spend()
         if spend is None:
             return 0
-        stale = sorted(self._stale(time.monotonic()), key=lambda pair: self._last(pair[1]))
+        stale = sorted(self._stale(self._clock()), key=lambda pair: self._last(pair[1]))
         sent = []
         for p, t in stale[:MOST_PROBES]:
             if not self._pay(spend, t):
                 break
-            self._probed_at[t.name] = time.monotonic()
+            self._probed_at[t.name] = self._clock()
             sent.append(self._probe(p, t))
         await asyncio.gather(*sent)
         return len(sent)
@@ -126,7 +130,9 @@
         """Take a probe's cost from the budget; return whether there was enough."""
         scope = "cross" if t.rtt_ms else "region"
         paid_bytes = spend.cross_bytes if t.rtt_ms else spend.region_bytes
-        if not spend.work_ms.take(spend.probe_cost_ms) or not paid_bytes.take(PROBE_BYTES):
+        if not paid_bytes.take(PROBE_BYTES):
+            return False
+        if not spend.work_ms.take(spend.probe_cost_ms):
             return False
         self._counted.measuring_bytes.labels(scope).inc(PROBE_BYTES)
         self._counted.measuring_work.inc(spend.probe_cost_ms)
--- a/waxwingspool/routing/score.py
+++ b/waxwingspool/routing/score.py
@@ -4,7 +4,7 @@
 
 from waxwingspool.routing import target
 
-__all__ = ["cold_factor", "expected_ms", "is_suspect", "is_usable", "load"]
+__all__ = ["cold_factor", "expected_ms", "is_suspect", "is_usable", "load", "may_serve"]
 
 # Time in which a new upstream is brought up to its full share, in seconds.
 SLOW_START_S = 5.0
@@ -24,11 +24,21 @@
 
     An ejected target whose time is over takes one request at a time until one succeeds.
     """
-    if t.leaving or t.departed is not None or now < t.ejected_until:
+    if not may_serve(t) or now < t.ejected_until:
         return False
     return not (t.ejections and t.in_flight)
 
 
+def may_serve(t: target.Target) -> bool:
+    """Return whether a target may be used at all: it is not leaving and has a connection left.
+
+    :param t: the target.
+    """
+    if t.leaving or t.departed is not None:
+        return False
+    return len(t.in_flight) < t.most_in_flight
+
+
 def load(t: target.Target, now: float) -> float:
     """Return the requests that a target is taken to hold: own, and those of others as they fade.
 
--- a/waxwingspool/routing/target.py
+++ b/waxwingspool/routing/target.py
@@ -4,6 +4,7 @@
 import math
 
 from waxwingspool.platform import upstream
+from waxwingspool.routing import pacing
 
 __all__ = [
     "Target",
@@ -25,6 +26,8 @@
     """An upstream with the signals that its answers give for free.
 
     :ivar rtt_ms: round trip to it, 0 inside the region.
+    :ivar most_in_flight: this balancer's share of the connections that the upstream takes.
+    :ivar pacer: paces uploads to it, ``None`` inside the region.
     :ivar in_flight: start time in seconds of each own attempt, oldest first.
     :ivar others: requests of other balancers at the time of the last report.
     :ivar reported_at: time of the last report in seconds.
@@ -39,6 +42,8 @@
     slots: int
     rtt_ms: float
     seen_at: float
+    most_in_flight: int = 1_000_000
+    pacer: pacing.Pacer | None = None
     leaving: bool = False
     in_flight: dict[str, float] = dataclasses.field(default_factory=dict)
     others: float = 0.0
@@ -86,8 +91,9 @@
     t.others = max(0.0, load.running + load.queued - len(t.in_flight))
     t.reported_at = now
     if load.incarnation != t.incarnation:
+        if t.incarnation:
+            t.seen_at = now
         t.incarnation = load.incarnation
-        t.seen_at = now
     if load.draining:
         return mark_departed(t, load.incarnation)
     if t.departed is not None and t.departed != load.incarnation:
