--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for building the product."""
--- /dev/null
+++ b/tools/check_binary.py
@@ -0,0 +1,90 @@
+"""Checks that a built program runs in one process: it starts, serves, and has no children."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from standins import site
+
+__all__ = ["check"]
+
+# Longest wait for the program to serve, in seconds.
+PATIENCE_S = 60.0
+
+
+async def check(program: pathlib.Path) -> str:
+    """Start a program, stop it, and return a report.
+
+    :param program: the file.
+    :returns: start time, memory and size.
+    :raises SystemExit: if it has a child process or does not stop with status 0.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.json"
+        operator = f"127.0.0.1:{site.free_port('127.0.0.1')}"
+        path.write_text(json.dumps(_settings(operator)))
+        environment = {**os.environ, "SHIV_ROOT": folder}
+        command = [sys.executable, str(program), "run", "--settings", str(path)]
+        started_at = time.monotonic()
+        process = subprocess.Popen(command, env=environment, stderr=subprocess.DEVNULL)
+        try:
+            await _wait_serving(operator)
+            took_s = time.monotonic() - started_at
+            tasks = pathlib.Path(f"/proc/{process.pid}/task").glob("*/children")
+            if "".join(p.read_text() for p in tasks).strip():
+                raise SystemExit("the program has a child process")
+            rss_kb = _rss_kb(process.pid)
+            process.send_signal(signal.SIGTERM)
+            if await asyncio.to_thread(process.wait, PATIENCE_S) != 0:
+                raise SystemExit("the program did not stop with status 0")
+        finally:
+            process.kill()
+            process.wait()
+    size_mb = program.stat().st_size / 1e6
+    return (
+        f"no child process; first start {took_s:.1f} s, {rss_kb // 1024} MB, file {size_mb:.0f} MB"
+    )
+
+
+def _settings(operator: str) -> dict:
+    """Return settings for a balancer without a platform."""
+    nowhere = "http://127.0.0.1:9"
+    return {
+        "id": "binary",
+        "data_centre": "d",
+        "region": "r",
+        "caller_address": f"127.0.0.1:{site.free_port('127.0.0.1')}",
+        "peer_address": f"127.0.0.1:{site.free_port('127.0.0.1')}",
+        "operator_address": operator,
+        "platform": {"table": nowhere, "objects": nowhere, "vms": nowhere},
+        "rotation_s": 0.1,
+    }
+
+
+async def _wait_serving(address: str) -> None:
+    """Wait until the operator interface takes connections."""
+    host, _, port = address.partition(":")
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.close()
+                return
+            except OSError:
+                await asyncio.sleep(0.05)
+
+
+def _rss_kb(pid: int) -> int:
+    """Return the resident memory of a process in kilobytes."""
+    lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    return int(next(line for line in lines if line.startswith("VmRSS")).split()[1])
+
+
+if __name__ == "__main__":
+    print("binary:", asyncio.run(check(pathlib.Path(sys.argv[1]))))
--- a/waxwingspool/observe/metrics.py
+++ b/waxwingspool/observe/metrics.py
@@ -23,9 +23,8 @@
     :ivar extra: extra upstream attempts by service and kind (``hedge``, ``retry``).
     :ivar measuring_bytes: bytes spent on measuring, by ``scope`` (``region``, ``cross``).
     :ivar measuring_work: upstream milliseconds spent on probes.
-    :ivar store_calls: transactions and reads of the table by kind.
+    :ivar store_calls: calls of the table by kind (``read``, ``scan``, ``commit``).
     :ivar peer_bytes: bytes to and from peers by ``scope``.
-    :ivar cross_bytes: request and answer bytes across regions.
     :ivar config_version: version in force.
     """
 
@@ -37,7 +36,6 @@
     measuring_work: prometheus_client.Counter
     store_calls: prometheus_client.Counter
     peer_bytes: prometheus_client.Counter
-    cross_bytes: prometheus_client.Counter
     config_version: prometheus_client.Gauge
 
 
@@ -64,7 +62,6 @@
         measuring_work=counter("measuring_work_ms", "Upstream work spent on probes"),
         store_calls=counter("store_calls", "Calls of the platform's table", "kind"),
         peer_bytes=counter("peer_bytes", "Bytes to and from peers", "scope"),
-        cross_bytes=counter("cross_bytes", "Request and answer bytes across regions"),
         config_version=prometheus_client.Gauge(
             "waxwingspool_config_version", "Configuration version in force", registry=registry
         ),
--- a/waxwingspool/platform/table.py
+++ b/waxwingspool/platform/table.py
@@ -6,7 +6,7 @@
 """
 
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
 import aiohttp
@@ -14,7 +14,7 @@
 
 from waxwingspool import exceptions
 
-__all__ = ["ABSENT", "Committed", "Conflict", "Row", "Table", "Write", "http_table"]
+__all__ = ["ABSENT", "Committed", "Conflict", "Row", "Table", "Write", "counted", "http_table"]
 
 # Version of a row that does not exist.
 ABSENT = 0
@@ -94,6 +94,36 @@
     return _HttpTable(session, base, aiohttp.ClientTimeout(total=timeout_s))
 
 
+def counted(store: Table, count: Callable[[str], None]) -> Table:
+    """Return a table whose calls are counted.
+
+    :param store: the table.
+    :param count: called with ``read``, ``scan`` or ``commit`` before each call.
+    :returns: a table that passes every call on.
+    """
+    return _CountedTable(store, count)
+
+
+class _CountedTable:
+    """A table whose calls are counted."""
+
+    def __init__(self, store: Table, count: Callable[[str], None]) -> None:
+        self._store = store
+        self._count = count
+
+    async def read(self, keys: Sequence[str]) -> dict[str, Row]:
+        self._count("read")
+        return await self._store.read(keys)
+
+    async def scan(self, prefix: str, after: str, limit: int) -> list[Row]:
+        self._count("scan")
+        return await self._store.scan(prefix, after, limit)
+
+    async def commit(self, writes: Sequence[Write]) -> expression.Result[Committed, Conflict]:
+        self._count("commit")
+        return await self._store.commit(writes)
+
+
 class _HttpTable:
     """The table over HTTP with JSON bodies."""
 
--- a/waxwingspool/routing/latency.py
+++ b/waxwingspool/routing/latency.py
@@ -13,6 +13,8 @@
 REUSE_S = 0.1
 # The longest latency recorded, in microseconds.
 MAX_US = 60_000_000
+# Size of one count, in bytes.
+COUNT_BYTES = 4
 # Samples below which no quantile is given.
 MIN_SAMPLES = 20
 
@@ -31,14 +33,17 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._current = hdrh.histogram.HdrHistogram(1, MAX_US, 2)
-        self._previous = hdrh.histogram.HdrHistogram(1, MAX_US, 2)
+        # Made when first needed: of many services, one balancer serves few.
+        self._current: hdrh.histogram.HdrHistogram | None = None
+        self._previous: hdrh.histogram.HdrHistogram | None = None
         self._rolled_at = clock()
         self._cached: dict[float, tuple[float, float | None]] = {}
 
     def record(self, ms: float) -> None:
         """Record a latency in milliseconds."""
         now = self._clock()
+        if self._current is None or self._previous is None:
+            self._current, self._previous = _histogram(), _histogram()
         if now - self._rolled_at > WINDOW_S:
             self._previous, self._current = self._current, self._previous
             self._current.reset()
@@ -60,7 +65,14 @@
 
     def _compute(self, q: float) -> float | None:
         """Return the quantile of the window that holds more samples."""
+        if self._current is None or self._previous is None:
+            return None
         fuller = max(self._current, self._previous, key=lambda h: h.get_total_count())
         if fuller.get_total_count() < MIN_SAMPLES:
             return None
         return fuller.get_value_at_percentile(q * 100) / 1000
+
+
+def _histogram() -> hdrh.histogram.HdrHistogram:
+    """Return an empty histogram."""
+    return hdrh.histogram.HdrHistogram(1, MAX_US, 2, word_size=COUNT_BYTES)
--- a/waxwingspool/serve/node.py
+++ b/waxwingspool/serve/node.py
@@ -52,7 +52,10 @@
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(local_addr=(ip, 0), limit=64)
         )
-        self._table = table.http_table(self._session, s.platform.table)
+        self._table = table.counted(
+            table.http_table(self._session, s.platform.table),
+            lambda kind: metrics.labelled(self._metrics.store_calls, kind).inc(),
+        )
         self._objects = objects.http_objects(self._session, s.platform.objects)
         self._vms = vms.http_vm_list(self._session, s.platform.vms)
         self._client = upstream.http_upstream(ip)
