Split the node, and let a returned upstream back though the VM list lags

Ports were drawn from the range of outgoing connections, which other sockets take before a balancer binds them, and a taken address ended the process through SystemExit, without a word in the log. Change: outside, status and departures are modules of their own; the list's word holds while it says so; ports lie below that range; a taken address is an error that the supervisor retries.

--- a/standins/site.py
+++ b/standins/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -22,18 +23,18 @@
 
 # Bandwidth of the link between regions, shared by the two processes of a region.
 LINK_BITS_PER_S = 30e6
-# Ports given out by this process, so that none is given out twice.
-_GIVEN: set[int] = set()
+# Ports that are given out: below the range that the system takes for outgoing connections.
+FIRST_PORT, LAST_PORT = 10_000, 30_000
+# The next port to try; processes start at different places.
+_NEXT = itertools.count(os.getpid() * 37)
 
 
 def free_port(ip: str) -> int:
     """Return a port that is free at an address now and was not returned before."""
     while True:
-        with contextlib.closing(socket.socket()) as s:
-            s.bind((ip, 0))
-            port = s.getsockname()[1]
-        if port not in _GIVEN:
-            _GIVEN.add(port)
+        port = FIRST_PORT + next(_NEXT) % (LAST_PORT - FIRST_PORT)
+        with contextlib.closing(socket.socket()) as s, contextlib.suppress(OSError):
+            s.bind((ip, port))
             return port
 
 
--- a/waxwingspool/config/settings.py
+++ b/waxwingspool/config/settings.py
@@ -4,7 +4,7 @@
 """
 
 import pathlib
-from typing import Annotated
+from typing import Annotated, Literal
 
 import pydantic
 
@@ -16,6 +16,9 @@
 HostPort = Annotated[str, pydantic.Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
 
 
+Policy = Literal["expected", "least-in-flight", "two-choices", "random", "round-robin"]
+
+
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
@@ -47,7 +50,7 @@
     peer_address: HostPort
     operator_address: HostPort
     platform: Platform
-    policy: str = "expected"
+    policy: Policy = "expected"
     measuring: bool = True
     peers: tuple[HostPort, ...] = ()
     drain_s: float = pydantic.Field(gt=0, default=60.0)
--- a/waxwingspool/exceptions.py
+++ b/waxwingspool/exceptions.py
@@ -12,6 +12,7 @@
     "StoreAnswerLost",
     "PeerUnavailable",
     "AnswerTooLarge",
+    "ListenError",
 ]
 
 
@@ -41,3 +42,7 @@
 
 class AnswerTooLarge(WaxwingspoolError):
     """An upstream's answer is larger than the buffer that holds answers before they are sent."""
+
+
+class ListenError(WaxwingspoolError):
+    """An address that should be listened at is taken or not this VM's."""
--- a/waxwingspool/membership/members.py
+++ b/waxwingspool/membership/members.py
@@ -93,6 +93,14 @@
         found.discard(self.own.peer_address)
         return sorted(found)
 
+    def data_centre_of(self, peer_address: str) -> str | None:
+        """Return the data centre of a peer, ``None`` if it is not known.
+
+        :param peer_address: the peer's address.
+        """
+        found = (m.data_centre for m in self._members.values() if m.peer_address == peer_address)
+        return next(found, None)
+
     def is_responsible(self, name: str, data_centres: Container[str]) -> bool:
         """Return whether a piece of shared work is this balancer's.
 
--- a/waxwingspool/routing/fleet.py
+++ b/waxwingspool/routing/fleet.py
@@ -45,6 +45,8 @@
         self._rng = rng
         self._on_departure = on_departure
         self._clock = clock
+        self._regions: dict[str, str] = {}
+        self._targets: dict[str, target.Target] = {}
         self._shared: model.Configuration | None = None
         self._routes: dict[str, list[tuple[str, Route]]] = {}
         self.pools: dict[str, pool.Pool] = {}
@@ -54,6 +56,7 @@
 
         :param configuration: the whole configuration.
         """
+        self._regions = {d.name: d.region for d in configuration.data_centres}
         paths = self._paths(configuration)
         shared = configuration.model_copy(update={"services": ()})
         same = shared == self._shared
@@ -69,6 +72,7 @@
                 p.configure(service, paths, balancers)
             pools[service.name] = p
         self.pools = pools
+        self._targets = {t.name: t for p in pools.values() for t in p.targets.values()}
         self._routes = _routes(pools)
 
     def route(self, method: str, path: str) -> Route | None:
@@ -86,15 +90,26 @@
                 return route
         return None
 
-    def find(self, name: str) -> tuple[pool.Pool, target.Target] | None:
-        """Return the pool and the target of an upstream, ``None`` if there is none.
+    def find(self, name: str) -> target.Target | None:
+        """Return the target of an upstream, ``None`` if there is none.
 
         :param name: the upstream's name.
         """
-        for p in self.pools.values():
-            if name in p.targets:
-                return p, p.targets[name]
-        return None
+        return self._targets.get(name)
+
+    def region_of(self, data_centre: str) -> str | None:
+        """Return the region of a data centre, ``None`` if it is not configured.
+
+        :param data_centre: its name.
+        """
+        return self._regions.get(data_centre)
+
+    def data_centres(self, region: str | None) -> list[str]:
+        """Return the data centres of a region.
+
+        :param region: its name.
+        """
+        return [name for name, r in self._regions.items() if r == region]
 
     def _paths(self, configuration: model.Configuration) -> pool.Paths:
         """Return how each data centre is reached from this region."""
@@ -107,11 +122,10 @@
             for link in configuration.links
             if self._region in link.between
         }
-        regions = {d.name: d.region for d in configuration.data_centres}
         unknown = pool.Path(LEAST_CROSSING_MS, None)
 
         def path(data_centre: str) -> pool.Path:
-            region = regions[data_centre]
+            region = self._regions[data_centre]
             if region == self._region:
                 return pool.INSIDE
             return links.get(frozenset((region, self._region)), unknown)
--- a/waxwingspool/routing/score.py
+++ b/waxwingspool/routing/score.py
@@ -34,9 +34,7 @@
 
     :param t: the target.
     """
-    if t.leaving or t.departed is not None:
-        return False
-    return len(t.in_flight) < t.most_in_flight
+    return not target.is_leaving(t) and len(t.in_flight) < t.most_in_flight
 
 
 def load(t: target.Target, now: float) -> float:
--- a/waxwingspool/routing/target.py
+++ b/waxwingspool/routing/target.py
@@ -28,6 +28,8 @@
     :ivar rtt_ms: round trip to it, 0 inside the region.
     :ivar most_in_flight: this balancer's share of the connections that the upstream takes.
     :ivar pacer: paces uploads to it, ``None`` inside the region.
+    :ivar leaving: whether the configuration says that it is leaving.
+    :ivar listed_leaving: whether the platform's VM list says so.
     :ivar in_flight: start time in seconds of each own attempt, oldest first.
     :ivar others: requests of other balancers at the time of the last report.
     :ivar reported_at: time of the last report in seconds.
@@ -45,6 +47,7 @@
     most_in_flight: int = 1_000_000
     pacer: pacing.Pacer | None = None
     leaving: bool = False
+    listed_leaving: bool = False
     in_flight: dict[str, float] = dataclasses.field(default_factory=dict)
     others: float = 0.0
     reported_at: float = -math.inf
@@ -101,6 +104,14 @@
     return False
 
 
+def is_leaving(t: Target) -> bool:
+    """Return whether an upstream is leaving, whoever says so.
+
+    :param t: the target.
+    """
+    return t.leaving or t.listed_leaving or t.departed is not None
+
+
 def mark_departed(t: Target, incarnation: str) -> bool:
     """Note that an incarnation of an upstream has started to leave.
 
--- a/waxwingspool/routing/tests/test_pool.py
+++ b/waxwingspool/routing/tests/test_pool.py
@@ -5,8 +5,10 @@
 
 from standins import small
 from waxwingspool.config import check
-from waxwingspool.platform import upstream
+from waxwingspool.membership import members
+from waxwingspool.platform import upstream, vms
 from waxwingspool.routing import fleet, pool
+from waxwingspool.serve import departures
 
 ANSWER = upstream.Answer(200, (), b"", upstream.Load(1, 0, False, "i"))
 FAILURE = upstream.Answer(500, (), b"", upstream.Load(0, 0, False, "i"))
@@ -80,6 +82,22 @@
         self.now += 60.0
         self.assertIn(t.name, self.chosen())
 
+    def test_the_lagging_list_does_not_keep_a_returned_upstream_out(self):
+        t = self.send(DRAINING)
+        departures.listed([vms.Vm(t.name, "upstream", t.address, "d", True)], self.fleet)
+        self.pool.learn(t, upstream.Load(0, 0, False, "next"))
+        self.now += 60.0
+        self.assertNotIn(t.name, self.chosen())
+        departures.listed([vms.Vm(t.name, "upstream", t.address, "d", False)], self.fleet)
+        self.assertIn(t.name, self.chosen())
+
+    def test_a_peers_word_about_an_earlier_incarnation_is_ignored(self):
+        t = self.send(ANSWER)
+        departures.heard(members.Departure(t.name, "earlier", 0.0), self.fleet)
+        self.assertIn(t.name, self.chosen())
+        departures.heard(members.Departure(t.name, "i", 0.0), self.fleet)
+        self.assertNotIn(t.name, self.chosen())
+
     def test_connections_are_shared_fairly_among_balancers(self):
         self.document["services"][0]["upstreams"] = self.document["services"][0]["upstreams"][:1]
         self.configure()
--- a/waxwingspool/serve/listener.py
+++ b/waxwingspool/serve/listener.py
@@ -5,6 +5,8 @@
 
 import uvicorn
 
+from waxwingspool import exceptions
+
 __all__ = ["Listener"]
 
 # How long an idle connection of a caller is kept, in seconds.
@@ -36,7 +38,11 @@
         self._stopping = False
 
     async def run(self) -> None:
-        """Serve until cancelled; after :meth:`stop` nothing is served any more."""
+        """Serve until cancelled; after :meth:`stop` nothing is served any more.
+
+        :raises waxwingspool.exceptions.ListenError: if the address is taken.
+        """
+        self._ended.clear()
         host, _, port = self._address.partition(":")
         config = uvicorn.Config(
             self._app,
@@ -56,6 +62,9 @@
         self._server = _Server(config)
         try:
             await self._server.serve()
+        except SystemExit as error:
+            # What uvicorn raises when it can't listen would end the whole process.
+            raise exceptions.ListenError(f"can't listen at {self._address}") from error
         finally:
             self._ended.set()
         while self._stopping:
