--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -33,6 +33,15 @@
         """Run everything that is due within some seconds."""
         self.run_until_complete(asyncio.sleep(seconds))
 
+    def finish(self) -> None:
+        """Cancel every task and close the loop."""
+        left = asyncio.all_tasks(self)
+        for task in left:
+            task.cancel()
+        self.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        self.close()
+        asyncio.set_event_loop(None)
+
 
 def loop() -> VirtualLoop:
     """Return a new virtual loop."""
--- a/waxwingspool/once/execute.py
+++ b/waxwingspool/once/execute.py
@@ -70,24 +70,18 @@
     """
     give_up_at = ctx.monotonic() + deadline_ms / 1000
     digest = entry.request_digest(request, bytes(request.body))
-    service = ctx.pool.service.name
     held: journal.Held | None = None
     while True:
-        if held is None:
-            expected, number = table.ABSENT, 1
-        else:
-            ruled = await _settle(ctx, held, digest)
-            if ruled is not None:
-                if ruled is not _IN_PROGRESS or ctx.monotonic() >= give_up_at:
-                    return ruled
-                await asyncio.sleep(POLL_S * (0.5 + ctx.rng.random()))
-                held = await _reread(ctx, service, key, held)
-                continue
-            expected, number = held.version, held.entry.attempt + 1
-        made = _new_entry(ctx, key, digest, number, give_up_at)
+        ruled = await _settle(ctx, held, digest) if held is not None else None
+        if ruled is _IN_PROGRESS and ctx.monotonic() < give_up_at:
+            held = await _look_again(ctx, held)
+            continue
+        if ruled is not None:
+            return ruled
+        made = _new_entry(ctx, key, digest, held, give_up_at)
         if made is None:
             return outcomes.NotRun("no upstream is available")
-        claim = await _claim(ctx, made, expected)
+        claim = await _claim(ctx, made, held.version if held is not None else table.ABSENT)
         if isinstance(claim, outcomes.NotRun):
             return claim
         if isinstance(claim, journal.Claimed):
@@ -180,10 +174,11 @@
     return None
 
 
-async def _reread(ctx: Context, service: str, key: str, held: journal.Held) -> journal.Held | None:
-    """Return the row as it is now, as it was if the table does not answer."""
+async def _look_again(ctx: Context, held: journal.Held) -> journal.Held | None:
+    """Return the row as it is a while later, as it was if the table does not answer."""
+    await asyncio.sleep(POLL_S * (0.5 + ctx.rng.random()))
     try:
-        return await ctx.journal.read(service, key)
+        return await ctx.journal.read(held.entry.service, held.entry.key)
     except exceptions.WaxwingspoolError:
         return held
 
@@ -199,9 +194,9 @@
 
 
 def _new_entry(
-    ctx: Context, key: str, digest: str, number: int, give_up_at: float
+    ctx: Context, key: str, digest: str, held: journal.Held | None, give_up_at: float
 ) -> entry.Entry | None:
-    """Return an intent for a newly chosen upstream, ``None`` if there is none."""
+    """Return an intent for a newly chosen upstream, ``None`` if none is left."""
     t = ctx.pool.choose()
     if t is None:
         return None
@@ -210,7 +205,7 @@
         service=ctx.pool.service.name,
         key=key,
         digest=digest,
-        attempt=number,
+        attempt=held.entry.attempt + 1 if held is not None else 1,
         attempt_id=attempt.new_id(),
         owner=ctx.owner,
         upstream=t.name,
--- a/waxwingspool/platform/objects.py
+++ b/waxwingspool/platform/objects.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from waxwingspool import exceptions
+from waxwingspool.platform import http
 
 __all__ = ["Objects", "http_objects"]
 
@@ -33,18 +34,14 @@
     :param timeout_s: longest wait for one answer.
     :returns: the store.
     """
-    return _HttpObjects(session, base, aiohttp.ClientTimeout(total=timeout_s))
+    return _HttpObjects(http.service(session, base, timeout_s))
 
 
 class _HttpObjects:
     """The object store over HTTP."""
 
-    def __init__(
-        self, session: aiohttp.ClientSession, base: str, timeout: aiohttp.ClientTimeout
-    ) -> None:
-        self._session = session
-        self._base = base
-        self._timeout = timeout
+    def __init__(self, service: http.Service) -> None:
+        self._service = service
 
     async def put(self, name: str, content: bytes) -> None:
         await self._request("PUT", name, content)
@@ -53,10 +50,10 @@
         return await self._request("GET", name, None)
 
     async def _request(self, method: str, name: str, content: bytes | None) -> bytes | None:
-        url = f"{self._base}/{name}"
+        url = f"{self._service.base}/{name}"
         try:
-            async with self._session.request(
-                method, url, data=content, timeout=self._timeout
+            async with self._service.session.request(
+                method, url, data=content, timeout=self._service.timeout
             ) as answer:
                 if answer.status == 404:
                     return None
--- a/waxwingspool/platform/table.py
+++ b/waxwingspool/platform/table.py
@@ -13,6 +13,7 @@
 import expression
 
 from waxwingspool import exceptions
+from waxwingspool.platform import http
 
 __all__ = ["ABSENT", "Committed", "Conflict", "Row", "Table", "Write", "counted", "http_table"]
 
@@ -91,7 +92,7 @@
     :param timeout_s: longest wait for one answer.
     :returns: the table.
     """
-    return _HttpTable(session, base, aiohttp.ClientTimeout(total=timeout_s))
+    return _HttpTable(http.service(session, base, timeout_s))
 
 
 def counted(store: Table, count: Callable[[str], None]) -> Table:
@@ -127,12 +128,8 @@
 class _HttpTable:
     """The table over HTTP with JSON bodies."""
 
-    def __init__(
-        self, session: aiohttp.ClientSession, base: str, timeout: aiohttp.ClientTimeout
-    ) -> None:
-        self._session = session
-        self._base = base
-        self._timeout = timeout
+    def __init__(self, service: http.Service) -> None:
+        self._service = service
 
     async def read(self, keys: Sequence[str]) -> dict[str, Row]:
         reply = await self._post("/read", {"keys": list(keys)}, exceptions.StoreUnavailable)
@@ -154,8 +151,8 @@
     async def _post(self, path: str, body: dict, lost: type[Exception]) -> dict:
         """Send a request; ``lost`` is raised where the request may have been received."""
         try:
-            async with self._session.post(
-                self._base + path, json=body, timeout=self._timeout
+            async with self._service.session.post(
+                self._service.base + path, json=body, timeout=self._service.timeout
             ) as answer:
                 if answer.status == 503:
                     raise exceptions.StoreUnavailable(f"table refused {path}")
--- a/waxwingspool/platform/vms.py
+++ b/waxwingspool/platform/vms.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from waxwingspool import exceptions
+from waxwingspool.platform import http
 
 __all__ = ["Vm", "VmList", "http_vm_list"]
 
@@ -41,22 +42,20 @@
     :param timeout_s: longest wait for one answer.
     :returns: the list.
     """
-    return _HttpVmList(session, base, aiohttp.ClientTimeout(total=timeout_s))
+    return _HttpVmList(http.service(session, base, timeout_s))
 
 
 class _HttpVmList:
     """The VM list over HTTP with a JSON body."""
 
-    def __init__(
-        self, session: aiohttp.ClientSession, base: str, timeout: aiohttp.ClientTimeout
-    ) -> None:
-        self._session = session
-        self._base = base
-        self._timeout = timeout
+    def __init__(self, service: http.Service) -> None:
+        self._service = service
 
     async def read(self) -> list[Vm]:
         try:
-            async with self._session.get(self._base, timeout=self._timeout) as answer:
+            async with self._service.session.get(
+                self._service.base, timeout=self._service.timeout
+            ) as answer:
                 answer.raise_for_status()
                 body = await answer.json()
         except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
