--- a/bench/main.py
+++ b/bench/main.py
@@ -14,7 +14,7 @@
 __all__ = ["table"]
 
 # Scenarios in which every policy is measured; the others measure the product alone.
-SIDE_BY_SIDE = ("calm", "slowness", "failing", "overload")
+SCENARIOS_SIDE_BY_SIDE = ("calm", "slowness", "failing", "overload")
 
 
 def table(rows: Sequence[row.Row]) -> str:
@@ -41,6 +41,9 @@
     deployment: Annotated[str, typer.Option(help="kwabena, dalatech or both")] = "both",
     short: Annotated[bool, typer.Option(help="a few seconds for each row")] = False,
     seconds: Annotated[float, typer.Option(help="measured seconds for each row")] = 10.0,
+    code: Annotated[
+        pathlib.Path | None, typer.Option(help="another version to measure beside this one")
+    ] = None,
     output: Annotated[pathlib.Path, typer.Option(help="folder for JSON and plot")] = pathlib.Path(
         "build/bench"
     ),
@@ -54,10 +57,13 @@
         for scenario, cases in scenarios.SCENARIOS.items():
             if only and scenario not in only.split(","):
                 continue
-            side_by_side = scenario in SIDE_BY_SIDE and name == "kwabena"
-            chosen = list(scenarios.POLICIES) if side_by_side else ["product"]
+            side_by_side = scenario in SCENARIOS_SIDE_BY_SIDE and name == "kwabena"
+            chosen = list(scenarios.BASELINES) if side_by_side else ["product"]
             if policies:
                 chosen = policies.split(";")
+            if code is not None:
+                chosen.append(scenarios.EARLIER)
+                scenarios.earlier_code = code.resolve()
             for case in cases(name, chosen, seconds):
                 rows.append(asyncio.run(row.run(case)))
                 print(table(rows[-1:]).splitlines()[-1], flush=True)
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -9,7 +9,7 @@
 from bench import row
 from standins import site, small
 
-__all__ = ["POLICIES", "SCENARIOS", "deployment"]
+__all__ = ["BASELINES", "EARLIER", "POLICIES", "SCENARIOS", "deployment"]
 
 # Balancers and upstreams of one row, scaled to the machine.
 BALANCERS = 4
@@ -33,6 +33,13 @@
     "least-in-flight": ({"policy": "least-in-flight", "measuring": False}, False),
 }
 
+# Variants that are measured side by side.
+BASELINES = tuple(POLICIES)
+# Name of the row for another version of the product, and the folder that its code lies in.
+EARLIER = "other version"
+POLICIES[EARLIER] = ({}, True)
+earlier_code = site.ROOT
+
 
 def deployment(name: str, hedged: bool, regions: int = 1) -> dict[str, Any]:
     """Return an example configuration scaled to one row.
@@ -72,6 +79,7 @@
         behaviour={s["name"]: work if s["name"] == lookups else {} for s in config["services"]},
         settings=settings,
         delays={"inside_ms": inside_ms, "across_ms": 30.0},
+        code=earlier_code if policy == EARLIER else site.ROOT,
     )
 
 
--- a/waxwingspool/once/tests/test_fuzz.py
+++ b/waxwingspool/once/tests/test_fuzz.py
@@ -8,7 +8,8 @@
 from hypothesis import stateful
 
 from standins import fuzzing
-from waxwingspool.once import recovery
+from waxwingspool import outcomes
+from waxwingspool.once import execute, journal, recovery
 from waxwingspool.once.tests import machine
 from waxwingspool.platform import upstream
 from waxwingspool.routing import attempt
@@ -72,6 +73,29 @@
             "waxwingspool.routing.attempt.send", send, "ran 2 times|was told it did not run"
         )
 
+    def test_catches_a_claim_that_does_not_ask_the_table(self):
+        async def write(self, e, expected, timeout_s):
+            return journal.Claimed(expected + 1)
+
+        self.catches("waxwingspool.once.journal.Journal.write", write, r"ran \d+ times")
+
+    def test_catches_a_row_that_stays_stuck(self):
+        def wait(*arguments):
+            return recovery.Decision.WAIT
+
+        self.catches("waxwingspool.once.recovery.decide", wait, "is stuck")
+
+    def test_catches_an_unclear_result_told_as_not_run(self):
+        async def execute_falsely(*arguments):
+            outcome = await real(*arguments)
+            if isinstance(outcome, outcomes.Unknown) and not outcome.final:
+                return outcomes.NotRun(outcome.reason)
+            return outcome
+
+        real = execute.execute
+        place = "waxwingspool.once.execute.execute"
+        self.catches(place, execute_falsely, "was told it did not run")
+
     def catches(self, place, broken, message="ran 2 times"):
         """Check that the fuzz fails with a function replaced."""
         with mock.patch(place, broken), self.assertRaisesRegex(AssertionError, message):
--- /dev/null
+++ b/waxwingspool/platform/tests/test_upstream.py
@@ -0,0 +1,114 @@
+"""Tests of the client towards upstreams, against a server that misbehaves."""
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from standins import site
+from standins import web as serving
+from waxwingspool.platform import upstream
+
+ATTEMPT = upstream.Attempt("a1", 4_000_000_000_000)
+
+
+class UpstreamTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, handler):
+        """Start a server; return its address and a client."""
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", handler)
+        address = f"127.0.0.1:{site.free_port('127.0.0.1')}"
+        runner = await serving.listen(app, address)
+        self.addAsyncCleanup(runner.cleanup)
+        client = upstream.http_upstream(None)
+        self.addAsyncCleanup(client.close)
+        return address, client
+
+    async def send(self, handler, timeout_s=5.0, headers=()):
+        """Return the result of a request."""
+        address, client = await self.start(handler)
+        request = upstream.Request("GET", "/x?y=1", headers, b"")
+        return await client.send(address, request, ATTEMPT, timeout_s)
+
+    async def test_an_answer_comes_whole_with_its_load(self):
+        async def handler(request):
+            load = "running=2;queued=1;draining=0;incarnation=ab"
+            echo = {"Waxwing-Attempt": request.headers["Waxwing-Attempt"], "Waxwing-Load": load}
+            return web.Response(text=request.path_qs, headers=echo)
+
+        result = await self.send(handler)
+        self.assertEqual((200, b"/x?y=1"), (result.status, result.body))
+        self.assertEqual(upstream.Load(2, 1, False, "ab"), result.load)
+        self.assertNotIn("waxwing-load", [k.lower() for k, _ in result.headers])
+
+    async def test_headers_pass_but_for_those_of_the_connection(self):
+        async def handler(request):
+            return web.json_response(dict(request.headers))
+
+        sent = (("Host", "shop.example"), ("Connection", "close"), ("X-Own", "1"))
+        result = await self.send(handler, headers=sent)
+        self.assertIn(b'"Host": "shop.example"', result.body)
+        self.assertIn(b'"X-Own": "1"', result.body)
+        self.assertNotIn(b"close", result.body)
+
+    async def test_an_answer_to_another_attempt_is_not_taken(self):
+        async def handler(request):
+            return web.Response(text="foreign", headers={"Waxwing-Attempt": "a0"})
+
+        self.assertIsInstance(await self.send(handler), upstream.Unclear)
+
+    async def test_a_short_answer_is_not_taken(self):
+        async def handler(request):
+            response = web.StreamResponse(headers={"Content-Length": "100"})
+            await response.prepare(request)
+            await response.write(b"half")
+            request.transport.abort()
+            return response
+
+        self.assertIsInstance(await self.send(handler), upstream.Unclear)
+
+    async def test_a_short_answer_in_chunks_is_not_taken(self):
+        async def handler(request):
+            response = web.StreamResponse()
+            response.enable_chunked_encoding()
+            await response.prepare(request)
+            await response.write(b"half")
+            request.transport.close()
+            return response
+
+        self.assertIsInstance(await self.send(handler), upstream.Unclear)
+
+    async def test_an_answer_that_is_too_large_is_not_taken(self):
+        async def handler(request):
+            return web.Response(body=b"x" * (upstream.MAX_ANSWER_BYTES + 1))
+
+        self.assertIsInstance(await self.send(handler), upstream.Unclear)
+
+    async def test_a_refusal_before_the_work_is_not_started(self):
+        async def handler(request):
+            return web.Response(status=503, headers={"Waxwing-Not-Started": "1"})
+
+        self.assertIsInstance(await self.send(handler), upstream.NotStarted)
+
+    async def test_a_refused_connection_is_not_started(self):
+        client = upstream.http_upstream(None)
+        self.addAsyncCleanup(client.close)
+        request = upstream.Request("POST", "/", (), b"")
+        result = await client.send("127.0.0.1:9", request, ATTEMPT, 5.0)
+        self.assertIsInstance(result, upstream.NotStarted)
+
+    async def test_a_late_answer_reaches_no_later_request(self):
+        answers = iter(["late", "own"])
+
+        async def handler(request):
+            text = next(answers)
+            if text == "late":
+                await asyncio.sleep(0.2)
+            return web.Response(text=text)
+
+        address, client = await self.start(handler)
+        request = upstream.Request("GET", "/", (), b"")
+        first = await client.send(address, request, ATTEMPT, 0.05)
+        second = await client.send(address, request, ATTEMPT, 5.0)
+        self.assertIsInstance(first, upstream.Unclear)
+        self.assertEqual(b"own", second.body)
--- a/waxwingspool/platform/upstream.py
+++ b/waxwingspool/platform/upstream.py
@@ -53,13 +53,13 @@
         "transfer-encoding",
         "upgrade",
         "content-length",
-        "host",
         "expect",
         "waxwing-attempt",
         "waxwing-deadline",
         "waxwing-load",
         "waxwing-not-started",
         "waxwing-outcome",
+        "waxwing-replayed",
     }
 )
 
--- a/waxwingspool/serve/caller.py
+++ b/waxwingspool/serve/caller.py
@@ -61,6 +61,7 @@
     route = dispatcher.services.route(request.method, path)
     if route is None:
         return _NO_RULE
+    headers = _forwarded(headers, request.client_ip)
     received = await _receive(request, route, headers, path)
     if isinstance(received, outcomes.NotRun):
         return received
@@ -68,6 +69,13 @@
     return await dispatcher.dispatch(route, received, key.decode("latin-1") if key else None)
 
 
+def _forwarded(headers: upstream.Headers, ip: str) -> upstream.Headers:
+    """Return headers in which ``X-Forwarded-For`` ends with the caller's IP number."""
+    kept = [(k, v) for k, v in headers if k.lower() != "x-forwarded-for"]
+    before = [v for k, v in headers if k.lower() == "x-forwarded-for"]
+    return (*kept, ("X-Forwarded-For", ", ".join([*before, ip])))
+
+
 async def _receive(
     request: messages.Request, route: fleet.Route, headers: upstream.Headers, path: str
 ) -> upstream.Request | outcomes.NotRun:
