--- a/waxwingspool/config/store.py
+++ b/waxwingspool/config/store.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import json
 import secrets
 from collections.abc import Awaitable, Callable, Container
 
@@ -15,7 +14,7 @@
 from waxwingspool.config import model, tree
 from waxwingspool.platform import objects, table
 
-__all__ = ["HEAD_KEY", "Accepted", "Head", "Holder", "Outdated", "publish", "read_head", "to_text"]
+__all__ = ["HEAD_KEY", "Accepted", "Head", "Holder", "Outdated", "publish", "read_head"]
 
 # Table key of the row that names the version in force.
 HEAD_KEY = "config/head"
@@ -206,8 +205,3 @@
 def _verified(blobs: dict[str, bytes]) -> dict[str, bytes]:
     """Return the blobs whose content matches their hash."""
     return {h: blob for h, blob in blobs.items() if tree.blob_hash(blob) == h}
-
-
-def to_text(configuration: model.Configuration) -> str:
-    """Return a configuration as the JSON text of a file."""
-    return json.dumps(configuration.model_dump(mode="json"), indent=2)
--- a/waxwingspool/routing/pool.py
+++ b/waxwingspool/routing/pool.py
@@ -5,7 +5,7 @@
 
 import dataclasses
 import time
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Container
 
 from waxwingspool.config import model
 from waxwingspool.platform import upstream
@@ -250,13 +250,6 @@
         self.counts.retries += 1
         self._retry_budget.spend(work_ms)
 
-    def overdue(self) -> Iterable[tuple[target.Target, float]]:
-        """Return the targets whose answers are late, and by how many milliseconds."""
-        now = self._clock()
-        patience_ms = self.patience_ms()
-        late = ((t, target.overdue_ms(t, now, patience_ms)) for t in self.targets.values())
-        return [(t, ms) for t, ms in late if ms > 0]
-
     def _moment(self, now: float) -> policy.Moment:
         """Return what a choice is based on beside the targets."""
         return policy.Moment(now, self._mean_ms, self.patience_ms())
