--- a/standins/fakes.py
+++ b/standins/fakes.py
@@ -12,7 +12,7 @@
 import expression
 
 from waxwingspool import exceptions
-from waxwingspool.platform import table, upstream
+from waxwingspool.interfaces import table, upstream
 
 __all__ = [
     "FakeNetwork",
--- a/waxwingspool/__init__.py
+++ b/waxwingspool/__init__.py
@@ -3,7 +3,7 @@
 The subpackages follow the themes of the product:
 
 - :mod:`waxwingspool.config`: settings, the configuration file and how it spreads,
-- :mod:`waxwingspool.platform`: the platform's table, object store and VM list,
+- :mod:`waxwingspool.interfaces`: the platform's table, object store and VM list,
 - :mod:`waxwingspool.once`: at-most-once execution of non-idempotent requests,
 - :mod:`waxwingspool.membership`: what balancers tell each other,
 - :mod:`waxwingspool.routing`: the choice of an upstream, limits, hedges and budgets,
--- a/waxwingspool/config/store.py
+++ b/waxwingspool/config/store.py
@@ -12,7 +12,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.config import model, tree
-from waxwingspool.platform import objects, table
+from waxwingspool.interfaces import objects, table
 
 __all__ = ["HEAD_KEY", "Accepted", "Head", "Holder", "Outdated", "publish", "read_head"]
 
--- /dev/null
+++ b/waxwingspool/edge/status.py
@@ -0,0 +1,34 @@
+"""Small answers to the platform: readiness and metrics."""
+
+import asyncio
+from collections.abc import Callable
+
+from waxwingspool.catalog import routes
+from waxwingspool.proxy import caller, message
+
+__all__ = ["listen"]
+
+Page = Callable[[str], tuple[int, str]]
+
+
+async def listen(ip: str, port: int, page: Page) -> asyncio.Server:
+    """Serve pages without any side effect.
+
+    :param page: returns status and text for a path.
+    """
+    connections: set[caller.Connection] = set()
+
+    async def handle(connection: caller.Connection, request: caller.Request) -> None:
+        status, text = page(request.path)
+        data = text.encode()
+        headers = [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(data))]
+        connection.begin_answer(message.status_line(status), headers, request.keep_alive)
+        connection.write(data)
+
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(
+        lambda: caller.Connection(handle, routes.Limits, lambda: False, connections),
+        ip,
+        port,
+        reuse_address=True,
+    )
--- /dev/null
+++ b/waxwingspool/fleet/beliefs.py
@@ -0,0 +1,348 @@
+"""What the store says, known to every balancer though only a few read it.
+
+In each region the balancer that ranks first follows the feeds of the store's tables and passes
+rows on to the others, with their age. A balancer whose rows grow too old suspects its reader and
+reads for itself until another reader's rows are fresh. So the number of calls grows with the
+regions and not with the balancers, and no balancer depends on one reader for longer than
+:data:`STALE_S`.
+"""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Callable, Iterable
+
+from waxwingspool import exceptions
+from waxwingspool.catalog import node
+from waxwingspool.dispatch import election
+from waxwingspool.fleet import frames, link, members
+from waxwingspool.fleet import store as store_client
+from waxwingspool.observe import eventlog
+from waxwingspool.platform import store
+
+__all__ = ["Beliefs", "OnRows"]
+
+# How long a feed call waits for changes, in seconds. Shorter finds a silent connection sooner;
+# every call is paid for.
+FEED_WAIT_S = 0.7
+# The same for members, whose rows are only hints.
+MEMBERS_WAIT_S = 8.0
+# Age of rows at which a balancer no longer relies on its reader, in seconds: one feed call, its
+# longest normal answer and a lost packet, and less than half of the shortest time within which a
+# configuration must be in force.
+STALE_S = 1.25
+# Pause after a failed call, in seconds, with as much again at random.
+FAILED_PAUSE_S = 0.15
+# Interval of the choice of a reader, in seconds.
+TICK_S = 0.2
+# Gap between two readings that is taken for an outage of the store, in seconds.
+OUTAGE_S = 2.0
+
+# Takes a table's new rows, and whether they are the complete table.
+OnRows = Callable[[str, Iterable[store.Row], bool], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Copy:
+    """A table as this balancer knows it.
+
+    :ivar version: the store's version up to which all changes are included; -1 for none.
+    :ivar fresh_at: monotonic time in seconds at which the store last said so.
+    """
+
+    version: int = -1
+    fresh_at: float = float("-inf")
+    rows: dict[str, store.Row] = dataclasses.field(default_factory=dict)
+
+
+class Beliefs:
+    """Copies of the store's tables.
+
+    :param settings: this balancer's.
+    :param client: calls of the store.
+    :param links: links to peers.
+    :param known: the members, to rank readers.
+    :param tables: tables that must be fresh; the members' table is followed besides.
+    :param on_rows: takes new rows.
+    :param on_return: told that the store answers again after an outage.
+    """
+
+    def __init__(
+        self,
+        settings: node.NodeSettings,
+        client: store_client.StoreClient,
+        links: link.Links,
+        known: members.Members,
+        tables: tuple[str, ...],
+        on_rows: OnRows,
+        on_return: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._client = client
+        self._links = links
+        self._members = known
+        self._tables = tables
+        self._on_rows = on_rows
+        self._on_return = on_return
+        self._copies = {table: _Copy() for table in (*tables, members.TABLE)}
+        self._subscribers: set[link.Channel] = set()
+        self._reader: str | None = None
+        self._readings: dict[str, asyncio.Task] = {}
+        self._rng = random.Random()
+        self._returned_at = float("-inf")
+        self._follow_since = 0.0
+
+    @property
+    def complete(self) -> bool:
+        """Whether every table has been read once."""
+        return all(self._copies[table].version >= 0 for table in self._tables)
+
+    @property
+    def age_s(self) -> float:
+        """Age of the oldest table that must be fresh, in seconds."""
+        return time.monotonic() - min(self._copies[table].fresh_at for table in self._tables)
+
+    @property
+    def reader(self) -> str | None:
+        """The peer whose rows are followed, ``None`` if this balancer reads for itself."""
+        return self._reader
+
+    @property
+    def reading(self) -> bool:
+        """Whether this balancer reads the store."""
+        return bool(self._readings)
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each table."""
+        return {table: copy.version for table, copy in self._copies.items()}
+
+    async def run(self) -> None:
+        """Keep the copies fresh until cancelled."""
+        self._start_reading()
+        try:
+            while True:
+                self._choose()
+                await asyncio.sleep(TICK_S)
+        finally:
+            self._stop_reading()
+
+    def subscribe(self, channel: link.Channel, versions: dict[str, int]) -> None:
+        """Pass rows on to a peer from now on."""
+        if channel not in self._subscribers:
+            eventlog.event("beliefs.subscribed", peer=channel.peer)
+        self._subscribers.add(channel)
+        for table, copy in self._copies.items():
+            if versions.get(table, -1) < copy.version:
+                self._send_listing(channel, table)
+        channel.send(self._freshness())
+        self._start_reading()
+
+    def unsubscribe(self, channel: link.Channel) -> None:
+        """Pass no more rows on to a peer."""
+        self._subscribers.discard(channel)
+
+    def send_listing(self, channel: link.Channel, table: str) -> None:
+        """Send a peer that missed rows the complete table."""
+        if table in self._copies:
+            self._send_listing(channel, table)
+
+    def receive_rows(self, frame: frames.Rows) -> bool:
+        """Take over rows from a peer; return whether rows before them are missing."""
+        copy = self._copies.get(frame.table)
+        if copy is None:
+            return False
+        rows = tuple(store.Row(key, value, version) for key, version, value in frame.rows)
+        if frame.after is not None and frame.after > copy.version:
+            return True
+        self._take(frame.table, rows, frame.version, frame.after is None)
+        return False
+
+    def receive_freshness(self, channel: link.Channel, frame: frames.Fresh) -> None:
+        """Take over how old the reader's rows are."""
+        if channel.peer != self._reader:
+            return
+        now = time.monotonic()
+        for table, (version, age_s) in frame.ages.items():
+            copy = self._copies.get(table)
+            if copy is None:
+                continue
+            if version > copy.version:
+                channel.send(frames.Behind(table))
+            else:
+                self._refresh(copy, now - age_s)
+
+    def lost(self, channel: link.Channel) -> None:
+        """Note that a link has ended."""
+        self._subscribers.discard(channel)
+        if channel.peer == self._reader:
+            self._unfollow()
+
+    # Choice of a reader
+
+    def _choose(self) -> None:
+        """Follow the reader that ranks first, or read."""
+        now = time.monotonic()
+        own = self._settings.ip
+        if self._reader is not None and now - self._follow_since > STALE_S and self.age_s > STALE_S:
+            self._links.suspect(self._reader, f"rows are {self.age_s:.2f} s old")
+            self._unfollow()
+        candidate = self._candidate()
+        if candidate == own:
+            self._unfollow()
+        elif candidate != self._reader and self.complete:
+            self._follow(candidate)
+        stale = self.age_s > STALE_S
+        if self._reader is None or self._subscribers or stale:
+            self._start_reading()
+        else:
+            self._stop_reading()
+
+    def _candidate(self) -> str:
+        """Return the first in rank; past this balancer only while its own calls fail."""
+        own = self._settings.ip
+        job = f"reader {self._settings.region}"
+        ranking = election.ranking(job, self._members.in_region(self._settings.region))
+        failing = self._readings and self.age_s > STALE_S
+        for ip in ranking:
+            if ip == own and not failing:
+                return own
+            if ip != own and self._links.available(ip):
+                return ip
+        return own
+
+    def _follow(self, reader: str) -> None:
+        self._unfollow()
+        self._reader = reader
+        self._follow_since = time.monotonic()
+        eventlog.event("reader.chosen", reader=reader, age_s=self.age_s)
+        asyncio.ensure_future(self._subscribe_to(reader))
+
+    async def _subscribe_to(self, reader: str) -> None:
+        try:
+            channel = await self._links.reach(reader)
+        except exceptions.PeerUnavailable:
+            if self._reader == reader:
+                self._reader = None
+            return
+        if self._reader == reader:
+            channel.send(frames.Subscribe(self.versions()))
+
+    def _unfollow(self) -> None:
+        if self._reader is None:
+            return
+        channel = self._links.get(self._reader)
+        self._reader = None
+        if channel is not None:
+            channel.send(frames.Cancel())
+
+    # Reading the store
+
+    def _start_reading(self) -> None:
+        for table in self._copies:
+            if table not in self._readings:
+                task = asyncio.create_task(self._read(table), name=f"read {table}")
+                self._readings[table] = task
+
+    def _stop_reading(self) -> None:
+        for task in self._readings.values():
+            task.cancel()
+        self._readings.clear()
+
+    async def _read(self, table: str) -> None:
+        """Follow one table's feed."""
+        copy = self._copies[table]
+        failures = 0
+        relist = False
+        wait_s = MEMBERS_WAIT_S if table == members.TABLE else FEED_WAIT_S
+        while True:
+            try:
+                if copy.version < 0 or relist:
+                    page = await self._client.listing(table)
+                else:
+                    page = await self._client.changes(table, copy.version, wait_s)
+            except store_client.HistoryGone:
+                eventlog.event("store.history-gone", table=table, version=copy.version)
+                relist = True
+                continue
+            except exceptions.StoreUnavailable as error:
+                failures += 1
+                if failures == 1:
+                    eventlog.event("store.lost", table=table, error=error, age_s=self.age_s)
+                await asyncio.sleep(FAILED_PAUSE_S * (1 + self._rng.random()))
+                continue
+            if failures:
+                eventlog.event("store.regained", table=table, failures=failures)
+            failures = 0
+            complete = copy.version < 0 or relist
+            relist = False
+            self._take(table, page.rows, page.version, complete)
+
+    # Taking over rows
+
+    def _take(self, table: str, rows: tuple[store.Row, ...], version: int, complete: bool) -> None:
+        """Merge rows into a copy, and pass on what is new."""
+        copy = self._copies[table]
+        self._refresh(copy, time.monotonic())
+        if version < copy.version:
+            return
+        before = copy.version
+        if complete:
+            listed = {row.key: row for row in rows if row.value is not None}
+            changed = listed != copy.rows or before < 0
+            copy.rows = listed
+            news: Iterable[store.Row] = listed.values()
+        else:
+            news = [row for row in rows if row.version > before]
+            changed = bool(news)
+            for row in news:
+                if row.value is None:
+                    copy.rows.pop(row.key, None)
+                else:
+                    copy.rows[row.key] = row
+        copy.version = version
+        if changed:
+            self._on_rows(table, news, complete)
+        self._pass_on(table, before, news if changed else (), complete and changed)
+
+    def _refresh(self, copy: _Copy, at: float) -> None:
+        """Note that a copy is as the store had it at a time."""
+        if (
+            at - copy.fresh_at > OUTAGE_S
+            and copy.fresh_at > 0
+            and at - self._returned_at > OUTAGE_S
+        ):
+            is_watched = any(copy is self._copies[table] for table in self._tables)
+            if is_watched:
+                self._returned_at = at
+                self._on_return()
+        copy.fresh_at = max(copy.fresh_at, at)
+
+    def _pass_on(self, table: str, before: int, rows: Iterable[store.Row], complete: bool) -> None:
+        if not self._subscribers:
+            return
+        encoded = [(row.key, row.version, row.value) for row in rows]
+        after = None if complete else before
+        frame: frames.Frame = frames.Rows(table, after, self._copies[table].version, encoded)
+        fresh = self._freshness()
+        for channel in self._subscribers:
+            if encoded or complete:
+                channel.send(frame)
+            if table != members.TABLE:
+                channel.send(fresh)
+
+    def _send_listing(self, channel: link.Channel, table: str) -> None:
+        copy = self._copies[table]
+        if copy.version < 0:
+            return
+        rows = [(row.key, row.version, row.value) for row in copy.rows.values()]
+        channel.send(frames.Rows(table, None, copy.version, rows))
+
+    def _freshness(self) -> frames.Fresh:
+        now = time.monotonic()
+        ages = {
+            table: (copy.version, round(now - copy.fresh_at, 3))
+            for table, copy in self._copies.items()
+            if copy.version >= 0 and table != members.TABLE
+        }
+        return frames.Fresh(ages)
--- a/waxwingspool/platform/objects.py
+++ b/waxwingspool/interfaces/objects.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from waxwingspool import exceptions
-from waxwingspool.platform import http
+from waxwingspool.interfaces import http
 
 __all__ = ["Objects", "http_objects"]
 
--- a/waxwingspool/platform/table.py
+++ b/waxwingspool/interfaces/table.py
@@ -13,7 +13,7 @@
 import expression
 
 from waxwingspool import exceptions
-from waxwingspool.platform import http
+from waxwingspool.interfaces import http
 
 __all__ = ["ABSENT", "Committed", "Conflict", "Row", "Table", "Write", "counted", "http_table"]
 
--- a/waxwingspool/platform/tests/test_upstream.py
+++ b/waxwingspool/interfaces/tests/test_upstream.py
@@ -7,7 +7,7 @@
 
 from standins import site
 from standins import web as serving
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 
 ATTEMPT = upstream.Attempt("a1", 4_000_000_000_000)
 
--- a/waxwingspool/membership/members.py
+++ b/waxwingspool/membership/members.py
@@ -6,8 +6,8 @@
 import time
 from collections.abc import Callable, Container, Iterable
 
+from waxwingspool.interfaces import vms
 from waxwingspool.membership import peer_pb2
-from waxwingspool.platform import vms
 
 __all__ = ["Departure", "Member", "Members"]
 
--- a/waxwingspool/membership/rollout.py
+++ b/waxwingspool/membership/rollout.py
@@ -11,9 +11,9 @@
 
 from waxwingspool import exceptions
 from waxwingspool.config import model, store, tree
+from waxwingspool.interfaces import objects, table
 from waxwingspool.membership import gossip, link, members
 from waxwingspool.observe import logs
-from waxwingspool.platform import objects, table
 
 __all__ = ["Rollout"]
 
--- a/waxwingspool/membership/tests/test_members.py
+++ b/waxwingspool/membership/tests/test_members.py
@@ -3,8 +3,8 @@
 import random
 import unittest
 
+from waxwingspool.interfaces import vms
 from waxwingspool.membership import members, peer_pb2
-from waxwingspool.platform import vms
 
 
 class MembersTest(unittest.TestCase):
--- a/waxwingspool/once/committer.py
+++ b/waxwingspool/once/committer.py
@@ -13,7 +13,7 @@
 import expression
 
 from waxwingspool import exceptions
-from waxwingspool.platform import table
+from waxwingspool.interfaces import table
 
 __all__ = ["Committer", "Counts"]
 
--- a/waxwingspool/once/entry.py
+++ b/waxwingspool/once/entry.py
@@ -10,7 +10,7 @@
 import hashlib
 from typing import Any
 
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 
 __all__ = ["PREFIX", "Entry", "State", "dump", "load", "request_digest", "row_key"]
 
--- a/waxwingspool/once/execute.py
+++ b/waxwingspool/once/execute.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Coroutine
 
 from waxwingspool import exceptions, outcomes
+from waxwingspool.interfaces import table, upstream
 from waxwingspool.once import entry, journal, recovery
-from waxwingspool.platform import table, upstream
 from waxwingspool.routing import attempt, pool, target
 
 __all__ = ["Context", "execute", "execute_unkeyed", "resolve"]
--- a/waxwingspool/once/journal.py
+++ b/waxwingspool/once/journal.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
+from waxwingspool.interfaces import table
 from waxwingspool.once import committer, entry
-from waxwingspool.platform import table
 
 __all__ = ["Claimed", "Held", "Journal"]
 
--- a/waxwingspool/once/recovery.py
+++ b/waxwingspool/once/recovery.py
@@ -15,8 +15,8 @@
 import enum
 
 from waxwingspool.config import model
+from waxwingspool.interfaces import upstream
 from waxwingspool.once import entry
-from waxwingspool.platform import upstream
 
 __all__ = ["GRACE_MS", "Decision", "decide", "overdue"]
 
--- a/waxwingspool/once/tests/machine.py
+++ b/waxwingspool/once/tests/machine.py
@@ -14,8 +14,8 @@
 from standins import fakes, virtual
 from waxwingspool import outcomes
 from waxwingspool.config import model
+from waxwingspool.interfaces import upstream
 from waxwingspool.once import committer, execute, journal, sweeper
-from waxwingspool.platform import upstream
 from waxwingspool.routing import policy, pool
 
 BALANCERS = ("a", "b", "c")
--- a/waxwingspool/once/tests/test_fuzz.py
+++ b/waxwingspool/once/tests/test_fuzz.py
@@ -9,9 +9,9 @@
 
 from standins import fuzzing
 from waxwingspool import outcomes
+from waxwingspool.interfaces import upstream
 from waxwingspool.once import execute, journal, recovery
 from waxwingspool.once.tests import machine
-from waxwingspool.platform import upstream
 from waxwingspool.routing import attempt
 
 SETTINGS = fuzzing.fixed(examples=120, steps=40)
--- a/waxwingspool/outcomes.py
+++ b/waxwingspool/outcomes.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 
 __all__ = ["Answered", "NotRun", "Outcome", "Unknown"]
 
--- /dev/null
+++ b/waxwingspool/platform/configuration.py
@@ -0,0 +1,122 @@
+"""The configuration that operators write into the store, as routing tables."""
+
+import msgspec
+
+from waxwingspool import exceptions
+from waxwingspool.catalog import routes
+
+__all__ = ["KEY", "TABLE", "decode"]
+
+# Where the store holds the newest configuration.
+TABLE = "op"
+KEY = "config"
+
+_KINDS = {
+    "safe": routes.Kind.IDEMPOTENT,
+    "unsafe": routes.Kind.NON_IDEMPOTENT,
+    "upload": routes.Kind.UPLOAD,
+}
+
+
+class _Limits(msgspec.Struct, rename="kebab"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Part(msgspec.Struct, rename="kebab"):
+    service: str
+    weight: float
+
+
+class _Match(msgspec.Struct, rename="kebab"):
+    path_prefix: str
+
+
+class _Action(msgspec.Struct, rename="kebab"):
+    timeout_ms: float
+    max_attempts: int = 1
+    service: str | None = None
+    weighted_split: list[_Part] | None = None
+
+
+class _Rule(msgspec.Struct, rename="kebab"):
+    kind: str
+    match: _Match
+    action: _Action
+    name: str = ""
+    # Time within which an answer earns its full credit.
+    latency_goal_ms: float = 1000
+    priority: int = 0
+
+
+class _Listener(msgspec.Struct, rename="kebab"):
+    # A listener is a virtual host; no socket belongs to it.
+    host: str
+    rules: list[_Rule]
+
+
+class _Cluster(msgspec.Struct, rename="kebab"):
+    # A cluster is a service.
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 100
+
+
+class _Document(msgspec.Struct, rename="kebab"):
+    version: int
+    limits: _Limits
+    listeners: list[_Listener]
+    clusters: list[_Cluster]
+
+
+_decoder = msgspec.json.Decoder(_Document, strict=False)
+
+
+def decode(value: bytes) -> routes.RouteTable:
+    """Return the routing table in a stored configuration.
+
+    :raises waxwingspool.exceptions.ConfigurationError: the value is not a usable configuration.
+    """
+    try:
+        document = _decoder.decode(value)
+        return _table(document)
+    except (msgspec.DecodeError, KeyError, ValueError) as error:
+        raise exceptions.ConfigurationError(f"stored configuration: {error}") from error
+
+
+def _table(document: _Document) -> routes.RouteTable:
+    limits = document.limits
+    return routes.route_table(
+        document.version,
+        routes.Limits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / 1000,
+            idle_timeout_s=limits.idle_timeout_ms / 1000,
+        ),
+        [routes.Service(c.name, c.health_path, c.max_conns) for c in document.clusters],
+        [_route(entry.host, rule) for entry in document.listeners for rule in entry.rules],
+    )
+
+
+def _route(host: str, rule: _Rule) -> routes.Route:
+    action = rule.action
+    if action.weighted_split:
+        shares = tuple(routes.Share(part.service, part.weight) for part in action.weighted_split)
+    elif action.service:
+        shares = (routes.Share(action.service, 1.0),)
+    else:
+        raise ValueError(f"route {rule.name!r} names no service")
+    return routes.Route(
+        name=rule.name,
+        host=host.lower(),
+        prefix=rule.match.path_prefix,
+        kind=_KINDS[rule.kind],
+        shares=shares,
+        timeout_s=action.timeout_ms / 1000,
+        objective_s=rule.latency_goal_ms / 1000,
+        attempts=max(1, action.max_attempts),
+        priority=rule.priority,
+    )
--- /dev/null
+++ b/waxwingspool/platform/store.py
@@ -0,0 +1,111 @@
+"""Calls of the platform's metadata store: requests and the rows in its responses."""
+
+import base64
+import dataclasses
+import urllib.parse
+
+import msgspec
+
+from waxwingspool import exceptions
+
+__all__ = ["Page", "Row", "changes_request", "decode_page", "listing_request", "put_request"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One row; ``value`` is ``None`` if the row was dropped."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Rows of one response.
+
+    :ivar version: the store's version as of this response; a feed goes on from here.
+    :ivar more: whether a listing goes on after the last row.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    more: bool
+
+
+class _Row(msgspec.Struct, rename="kebab"):
+    key: str
+    ver: int
+    value: str | None = None
+    # Marks a dropped row.
+    tombstone: bool = False
+
+
+class _Page(msgspec.Struct, rename="kebab"):
+    ver: int
+    rows: list[_Row] = []
+    has_more: bool = False
+
+
+class _Put(msgspec.Struct, rename="kebab"):
+    table: str
+    part: str
+    key: str
+    value: str
+
+
+class _Transaction(msgspec.Struct, rename="kebab"):
+    put: list[_Put]
+    # Rows with the version each must have; none here, writes are unconditional.
+    expect: list[dict] = []
+    remove: list[dict] = []
+
+
+_decoder = msgspec.json.Decoder(_Page, strict=False)
+
+
+def listing_request(table: str, start: str | None) -> str:
+    """Return the target of a GET that lists a table.
+
+    :param start: the first key, ``None`` for the beginning.
+    """
+    query = {"table": table, "part": ""}
+    if start is not None:
+        query["from"] = start
+    return "/v1/rows-get?" + urllib.parse.urlencode(query)
+
+
+def changes_request(table: str, after: int, wait_s: float) -> str:
+    """Return the target of a GET that waits for changes of a table.
+
+    :param after: version from which the changes are wanted.
+    :param wait_s: longest wait in seconds.
+    """
+    query = {"table": table, "after": after, "wait-ms": int(wait_s * 1000)}
+    return "/v1/rows-feed?" + urllib.parse.urlencode(query)
+
+
+def put_request(table: str, key: str, value: bytes) -> tuple[str, bytes]:
+    """Return the target and body of a POST that writes one row whatever it holds."""
+    text = base64.b64encode(value).decode()
+    transaction = _Transaction(put=[_Put(table, "", key, text)])
+    return "/v1/rows-tx", msgspec.json.encode(transaction)
+
+
+def decode_page(body: bytes) -> Page:
+    """Return the rows in a response.
+
+    :raises waxwingspool.exceptions.StoreUnavailable: the body can't be read.
+    """
+    try:
+        page = _decoder.decode(body)
+        rows = tuple(Row(row.key, _value(row), row.ver) for row in page.rows)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise exceptions.StoreUnavailable(f"unreadable response: {error}") from error
+    return Page(rows, page.ver, page.has_more)
+
+
+def _value(row: _Row) -> bytes | None:
+    if row.tombstone:
+        return None
+    return base64.b64decode(row.value or "", validate=True)
--- /dev/null
+++ b/waxwingspool/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The request path: callers, upstream connections and the forwarding between them."""
--- /dev/null
+++ b/waxwingspool/proxy/message.py
@@ -0,0 +1,89 @@
+"""HTTP/1.1 message heads: what is passed on, and how heads are written."""
+
+from collections.abc import Iterable
+
+__all__ = ["Headers", "connection_options", "end_to_end", "first", "head", "status_line"]
+
+# Name in lower case, and value.
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1), and framing, which is
+# written anew.
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+def first(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, ``None`` if it is missing."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def connection_options(headers: Headers) -> set[bytes]:
+    """Return the options of all ``Connection`` headers, in lower case.
+
+    >>> sorted(connection_options([(b"connection", b"Close, X-A")]))
+    [b'close', b'x-a']
+    """
+    options: set[bytes] = set()
+    for key, value in headers:
+        if key == b"connection":
+            options.update(option.strip().lower() for option in value.split(b","))
+    return options
+
+
+def end_to_end(headers: Headers, without: Iterable[bytes] = ()) -> Headers:
+    """Return the headers that are passed on.
+
+    :param without: further names to leave out.
+
+    >>> end_to_end([(b"connection", b"x-a"), (b"x-a", b"1"), (b"x-b", b"2")])
+    [(b'x-b', b'2')]
+    """
+    dropped = _HOP_BY_HOP | connection_options(headers) | set(without)
+    return [(key, value) for key, value in headers if key not in dropped]
+
+
+def status_line(status: int, reason: bytes | None = None) -> bytes:
+    """Return a status line without its line end."""
+    return b"HTTP/1.1 %d %s" % (status, reason or _REASONS.get(status, b"Unknown"))
+
+
+def head(start: bytes, headers: Headers) -> bytes:
+    """Return a message head.
+
+    >>> head(b"GET / HTTP/1.1", [(b"host", b"a")])
+    b'GET / HTTP/1.1\\r\\nhost: a\\r\\n\\r\\n'
+    """
+    lines = [start]
+    lines += [key + b": " + value for key, value in headers]
+    lines += [b"", b""]
+    return b"\r\n".join(lines)
--- a/waxwingspool/routing/attempt.py
+++ b/waxwingspool/routing/attempt.py
@@ -4,7 +4,7 @@
 import secrets
 import time
 
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 from waxwingspool.routing import pool, target
 
 __all__ = ["new_id", "now_ms", "send"]
--- a/waxwingspool/routing/hedged.py
+++ b/waxwingspool/routing/hedged.py
@@ -11,7 +11,7 @@
 
 from waxwingspool import outcomes
 from waxwingspool.config import model
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 from waxwingspool.routing import attempt, pool, target
 
 __all__ = ["Hedged", "execute"]
--- a/waxwingspool/routing/pool.py
+++ b/waxwingspool/routing/pool.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Container
 
 from waxwingspool.config import model
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 from waxwingspool.routing import bucket, ejection, latency, limit, pacing, policy, score, target
 
 __all__ = ["INSIDE", "Path", "Paths", "Pool"]
--- a/waxwingspool/routing/probing.py
+++ b/waxwingspool/routing/probing.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Iterator
 
 from waxwingspool.config import model
+from waxwingspool.interfaces import upstream
 from waxwingspool.observe import metrics
-from waxwingspool.platform import upstream
 from waxwingspool.routing import bucket, fleet, pool, target
 
 __all__ = ["Budget", "Prober", "budget"]
--- a/waxwingspool/routing/target.py
+++ b/waxwingspool/routing/target.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 from waxwingspool.routing import pacing
 
 __all__ = [
--- a/waxwingspool/routing/tests/test_hedged.py
+++ b/waxwingspool/routing/tests/test_hedged.py
@@ -9,7 +9,7 @@
 from standins import small, virtual
 from waxwingspool import outcomes
 from waxwingspool.config import check
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 from waxwingspool.routing import fleet, hedged
 
 GOOD = upstream.Answer(200, (), b"good", upstream.Load(1, 0, False, "i"))
--- a/waxwingspool/routing/tests/test_pool.py
+++ b/waxwingspool/routing/tests/test_pool.py
@@ -5,8 +5,8 @@
 
 from standins import small
 from waxwingspool.config import check
+from waxwingspool.interfaces import upstream, vms
 from waxwingspool.membership import members
-from waxwingspool.platform import upstream, vms
 from waxwingspool.routing import fleet, pool
 from waxwingspool.serve import departures
 
--- a/waxwingspool/routing/tests/test_probing.py
+++ b/waxwingspool/routing/tests/test_probing.py
@@ -11,8 +11,8 @@
 
 from standins import small
 from waxwingspool.config import check
+from waxwingspool.interfaces import upstream
 from waxwingspool.observe import metrics
-from waxwingspool.platform import upstream
 from waxwingspool.routing import fleet, probing
 
 # Time between two looks of a balancer in the test, and its length, in seconds.
--- a/waxwingspool/serve/caller.py
+++ b/waxwingspool/serve/caller.py
@@ -13,7 +13,7 @@
 
 from waxwingspool import outcomes
 from waxwingspool.config import model
-from waxwingspool.platform import upstream
+from waxwingspool.interfaces import upstream
 from waxwingspool.routing import fleet
 from waxwingspool.serve import dispatch
 
--- a/waxwingspool/serve/departures.py
+++ b/waxwingspool/serve/departures.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
+from waxwingspool.interfaces import vms
 from waxwingspool.membership import gossip, members
 from waxwingspool.observe import logs
-from waxwingspool.platform import vms
 from waxwingspool.routing import fleet, target
 
 __all__ = ["heard", "listed", "seen"]
--- a/waxwingspool/serve/dispatch.py
+++ b/waxwingspool/serve/dispatch.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Coroutine
 
 from waxwingspool import outcomes
+from waxwingspool.interfaces import upstream
 from waxwingspool.observe import burn, metrics
 from waxwingspool.once import execute, journal
-from waxwingspool.platform import upstream
 from waxwingspool.routing import fleet, hedged
 
 __all__ = ["Dispatcher", "outcome_name"]
--- a/waxwingspool/serve/node.py
+++ b/waxwingspool/serve/node.py
@@ -8,10 +8,10 @@
 
 from waxwingspool import exceptions
 from waxwingspool.config import model, settings, store
+from waxwingspool.interfaces import vms
 from waxwingspool.membership import gossip, link, members, rollout
 from waxwingspool.observe import burn, logs, metrics
 from waxwingspool.once import committer, execute, journal, sweeper
-from waxwingspool.platform import vms
 from waxwingspool.routing import attempt, fleet, probing, target
 from waxwingspool.serve import (
     caller,
--- a/waxwingspool/serve/outside.py
+++ b/waxwingspool/serve/outside.py
@@ -5,9 +5,9 @@
 import aiohttp
 
 from waxwingspool.config import settings
+from waxwingspool.interfaces import objects, table, upstream, vms
 from waxwingspool.membership import link
 from waxwingspool.observe import metrics
-from waxwingspool.platform import objects, table, upstream, vms
 
 __all__ = ["Outside", "connect"]
 
--- a/waxwingspool/serve/supervisor.py
+++ b/waxwingspool/serve/supervisor.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from waxwingspool.observe import logs
+from waxwingspool.observe import eventlog
 
 __all__ = ["Supervisor"]
 
@@ -57,7 +57,7 @@
                 reason = repr(error)
             if clock() - started_at > RECOVERED_S:
                 pause_s = FIRST_PAUSE_S
-            logs.logger().error(
+            eventlog.event(
                 "part.restarted", part=f"{self._name}/{name}", reason=reason, pause_s=pause_s
             )
             await asyncio.sleep(pause_s)
