--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -78,6 +78,7 @@
         self._skipping = False
         self._writable: asyncio.Future | None = None
         self._spoiled = False
+        self._reusable = True
         self.idle_since = 0.0
         self.keep_s: float | None = None
         self.used = False
@@ -154,13 +155,14 @@
             self._head.set_result(self._response)
 
     def on_body(self, data: bytes) -> None:
-        if self._response is not None and not self._skipping and not self._spoiled:
-            self._response.body.feed(data)
+        response = self._response
+        if response is not None and not self._skipping and not response.body.complete:
+            response.body.feed(data)
 
     def on_message_complete(self) -> None:
         if self._skipping:
             self._skipping = False
-            self._spoiled = True
+            self._reusable = self._parser.get_status_code() < 200 and self._reusable
             return
         if self._response is not None and not self._response.body.complete:
             self._complete()
@@ -203,7 +205,7 @@
         self._head = None
         self._response = None
         whole = response is not None and response.body.complete and response.reusable
-        if not whole or self._spoiled or self.lost:
+        if not whole or not self._reusable or self._spoiled or self.lost:
             self.abort()
             return False
         self.used = True
