Probe loaded upstreams, and leave disturbed ones alone until they calm down

Cause: upstreams' machines are disturbed for about half a second, a third of the time (30 ms probes of four targets: blocks of 0.5 s, factor 7).

--- a/waxwingspool/dispatch/health.py
+++ b/waxwingspool/dispatch/health.py
@@ -2,11 +2,10 @@
 
 import dataclasses
 import enum
-import math
 
 from waxwingspool.catalog import upstreams
 
-__all__ = ["Health", "Outcome", "Report"]
+__all__ = ["Flight", "Health", "Outcome", "Report"]
 
 # Failures in a row after which an upstream is set aside.
 FAILURES_IN_A_ROW = 3
@@ -17,16 +16,27 @@
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 8.0
 # Weight of the newest time in an upstream's average speed.
-SPEED_SMOOTHING = 0.12
-# Time constant in seconds with which a reported slowdown is forgotten; neighbours on shared
-# machines come and go several times a second.
-SLOWDOWN_MEMORY_S = 0.25
+SPEED_SMOOTHING = 0.25
+# Time in seconds for which a reported slowdown is taken to go on; neighbours on shared machines
+# come and go several times a second.
+DISTURBANCE_S = 0.25
+# Age in seconds up to which a reported slowdown says how things are now.
+REPORT_MEMORY_S = 0.4
+# Slowdown above which an upstream is better left alone until its neighbours calm down.
+DISTURBED = 2.5
+# Bound on how far one answer's time may lie off the average, and the least time that counts.
+MOST_TIMES = 8.0
+LEAST_WORK_S = 0.001
 # Factor on the time of work during the warm-up after a start.
 COLD_FACTOR = 2.0
 # Age of the oldest unanswered request, in expected times, at which an upstream counts as stalled.
 STALLED_TIMES = 4.0
 # Shortest such age in seconds.
 LEAST_STALL_S = 0.5
+# Age in seconds up to which the load that a probe found is believed.
+LOAD_MEMORY_S = 0.4
+# Probes without an answer in a row after which an upstream counts as silent.
+SILENT_AFTER = 2
 # Time in seconds without new work after an upstream turned a request away as full.
 FULL_PAUSE_S = 0.05
 
@@ -62,10 +72,17 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Flight:
+class Flight:
+    """A request at an upstream.
+
+    :ivar started_at: monotonic time in seconds.
+    :ivar work_at_start: the upstream's work clock then, in seconds.
+    :ivar concurrency: requests there meanwhile, itself included.
+    """
+
     started_at: float
+    work_at_start: float
     concurrency: int
-    slowdown: float
 
 
 class Health:
@@ -76,8 +93,11 @@
 
     def __init__(self, upstream: upstreams.Upstream) -> None:
         self.upstream = upstream
-        self.flights: dict[object, _Flight] = {}
+        self.flights: dict[object, Flight] = {}
         self.speed = 1.0
+        self.drag = 1.0
+        self._work = 0.0
+        self._work_at = 0.0
         self.granted_at = float("-inf")
         self._slowdown = 1.0
         self._slowdown_at = float("-inf")
@@ -88,30 +108,57 @@
         self._on_trial = False
         self._full_until = float("-inf")
         self._answered_at = float("-inf")
+        self._others = 0
+        self._others_before = 0
+        self._load_at = float("-inf")
+        self._unanswered_probes = 0
+
+    @property
+    def silent(self) -> bool:
+        """Whether it has left probes unanswered and answered nothing since."""
+        return self._unanswered_probes >= SILENT_AFTER
+
+    def others(self, now: float) -> int:
+        """Return the requests there that this dispatcher has not granted.
+
+        The lower of two looks counts: a request that is on its way is in one count only.
+        """
+        if now - self._load_at > LOAD_MEMORY_S:
+            return 0
+        return min(self._others, self._others_before)
 
     @property
     def in_flight(self) -> int:
         """Requests granted and not given back."""
         return len(self.flights)
 
-    def slowdown(self, now: float, usual: float) -> float:
-        """Return the expected slowdown.
+    def disturbed(self, now: float) -> bool:
+        """Whether work there takes much longer than usual at the moment."""
+        return self._slowdown > DISTURBED and now - self._slowdown_at < REPORT_MEMORY_S
+
+    def work_clock(self, now: float) -> float:
+        """Return the seconds of undisturbed work that a request could have had so far.
 
-        :param usual: average slowdown of the service, which an old report fades into.
+        The clock runs slower while the upstream reports that its machine is disturbed, so the
+        difference between two readings is the time that the work itself took.
         """
-        kept = math.exp(-(now - self._slowdown_at) / SLOWDOWN_MEMORY_S)
-        return self._slowdown * kept + usual * (1 - kept)
+        return self._work + (now - self._work_at) / self._slowdown
 
-    def expected_s(self, now: float, mean_s: float, usual_slowdown: float) -> float:
+    def expected_s(self, now: float, mean_s: float) -> float:
         """Return the expected time of one more request in seconds.
 
-        :param mean_s: average time of the service on an undisturbed machine.
+        :param mean_s: average time of the service's undisturbed work in seconds.
         """
         cold = COLD_FACTOR if now < self.upstream.warm_at else 1.0
-        return mean_s * self.speed * cold * self.slowdown(now, usual_slowdown)
+        work_s = mean_s * self.speed * cold
+        expected_s = work_s * self.drag
+        if now - self._slowdown_at < REPORT_MEMORY_S:
+            rest_s = DISTURBANCE_S * (1 - 1 / self._slowdown)
+            expected_s += min(rest_s, work_s * (self._slowdown - 1))
+        return expected_s
 
     def ejected(self, now: float) -> bool:
-        """Whether it is set aside; after that it gets one request at a time until one is answered."""
+        """Whether it is set aside; after that one request at a time tries it out."""
         return now < self._ejected_until or (self._on_trial and self.in_flight > 0)
 
     def stalled(self, now: float, expected_s: float) -> bool:
@@ -126,21 +173,22 @@
         """Whether it has just turned a request away."""
         return now < self._full_until
 
-    def start(self, key: object, now: float, usual_slowdown: float) -> None:
+    def start(self, key: object, now: float) -> None:
         """Count a request in."""
-        concurrency = self.in_flight + 1
-        self.flights[key] = _Flight(now, concurrency, self.slowdown(now, usual_slowdown))
+        self.flights[key] = Flight(now, self.work_clock(now), self.in_flight + 1)
         self.granted_at = now
 
-    def finish(self, key: object, report: Report, now: float) -> _Flight | None:
+    def finish(self, key: object, report: Report, now: float) -> Flight | None:
         """Count a request out and learn from how it ended.
 
         :returns: the request's start, ``None`` if it is not known.
         """
+        in_flight = self.in_flight
         flight = self.flights.pop(key, None)
         if report.slowdown is not None:
-            self._slowdown = report.slowdown
-            self._slowdown_at = now
+            self._take_slowdown(report.slowdown, now)
+        if flight is not None:
+            flight.concurrency = (flight.concurrency + in_flight + 1) // 2
         match report.outcome:
             case Outcome.ANSWERED:
                 self._succeed(now)
@@ -152,13 +200,43 @@
                 self._fail(now, 1)
         return flight
 
-    def learn_speed(self, ratio: float) -> None:
-        """Take in the time of an answer against the time that was expected of the service."""
-        bounded = min(8.0, max(0.2, ratio))
-        self.speed += SPEED_SMOOTHING * (bounded - self.speed)
+    def observe(self, held: int, slowdown: float | None, now: float) -> None:
+        """Take in what a probe found.
+
+        :param held: requests that the upstream works on or has waiting.
+        :param slowdown: the slowdown that it reported, if any.
+        """
+        self._unanswered_probes = 0
+        self._others_before, self._others = self._others, max(0, held - self.in_flight)
+        self._load_at = now
+        if slowdown is not None:
+            self._take_slowdown(slowdown, now)
+
+    def probe_failed(self) -> None:
+        """Note that a probe was not answered."""
+        self._unanswered_probes += 1
+
+    def learn(self, work_s: float, mean_s: float, elapsed_s: float) -> None:
+        """Take in the time of an answer.
+
+        :param work_s: undisturbed time in seconds.
+        :param mean_s: average undisturbed time of the service.
+        :param elapsed_s: time that passed, disturbed or not.
+        """
+        speed = min(MOST_TIMES, max(1 / MOST_TIMES, work_s / mean_s))
+        drag = min(MOST_TIMES, max(1.0, elapsed_s / max(work_s, LEAST_WORK_S)))
+        self.speed += SPEED_SMOOTHING * (speed - self.speed)
+        self.drag += SPEED_SMOOTHING * (drag - self.drag)
+
+    def _take_slowdown(self, slowdown: float, now: float) -> None:
+        self._work = self.work_clock(now)
+        self._work_at = now
+        self._slowdown = max(1.0, slowdown)
+        self._slowdown_at = now
 
     def _succeed(self, now: float) -> None:
         self._answered_at = now
+        self._unanswered_probes = 0
         self._failures = 0
         self._failure_rate *= 1 - FAILURE_SMOOTHING
         self._on_trial = False
--- a/waxwingspool/dispatch/limits.py
+++ b/waxwingspool/dispatch/limits.py
@@ -16,7 +16,7 @@
 # One grant in this many may go one above the limit, to learn the time there.
 EXPLORE_EVERY = 25
 # Gain in throughput below which the lower concurrency is kept.
-LEAST_GAIN = 1.08
+LEAST_GAIN = 1.15
 
 
 class ConcurrencyLimit:
@@ -40,7 +40,7 @@
     def record(self, concurrency: int, seconds: float) -> None:
         """Take in the time of an answer.
 
-        :param concurrency: requests at the upstream when this one started, itself included.
+        :param concurrency: requests at the upstream meanwhile, itself included.
         :param seconds: its time, cleared of what the upstream's machine slows down for others.
         """
         known = self._times.get(concurrency)
--- a/waxwingspool/dispatch/slots.py
+++ b/waxwingspool/dispatch/slots.py
@@ -126,7 +126,9 @@
         self._waiting: list[_Waiting] = []
         self._order = itertools.count()
         self._mean_s = FIRST_MEAN_S
+        self._mean_elapsed_s = FIRST_MEAN_S
         self._usual_slowdown = 1.0
+        self._asked_at = float("-inf")
 
     # Figures
 
@@ -152,12 +154,25 @@
 
     def capacity(self, now: float) -> int:
         """Return the slots that upstreams in good health have together."""
-        healthy = (h for h in self._upstreams.values() if not self._avoided(h, now))
+        healthy = (h for h in self._upstreams.values() if not self.avoids(h, now))
         return sum(self._limit_of(h) for h in healthy)
 
+    @property
+    def usual_slowdown(self) -> float:
+        """Average slowdown that the service's upstreams report."""
+        return self._usual_slowdown
+
+    def idle_s(self, now: float) -> float:
+        """Return the time in seconds since the last request."""
+        return now - self._asked_at
+
+    def limit(self, slots: int) -> int:
+        """Return the concurrency that is used of an upstream with this many slots."""
+        return self._limit.value(slots)
+
     def expected_s(self) -> float:
         """Return the expected time of an answer in seconds."""
-        return self._mean_s * self._usual_slowdown
+        return self._mean_elapsed_s
 
     # What the outside says
 
@@ -179,6 +194,7 @@
 
         :returns: a grant or a refusal, ``None`` if the request waits for :meth:`poll`.
         """
+        self._asked_at = now
         if ask.hedge or ask.borrowed:
             return self._ask_for_spare(ask, now)
         if not self._ahead(ask):
@@ -209,7 +225,7 @@
             return
         flight = upstream.finish((holder, key), report, now)
         if flight is not None and report.outcome is health.Outcome.ANSWERED:
-            self._learn(upstream, flight.concurrency, flight.slowdown, report)
+            self._learn(upstream, flight, now)
 
     def drop_holder(self, holder: str, now: float) -> None:
         """Take back everything of a balancer that is gone."""
@@ -218,13 +234,24 @@
             if slot_holder == holder:
                 self.release(holder, key, health.Report(health.Outcome.ABANDONED), now)
 
-    def observe(self, upstream: str, slowdown: float, now: float) -> None:
-        """Take in a load report that came without a request, from a probe."""
+    def observe(self, upstream: str, held: int, slowdown: float | None, now: float) -> None:
+        """Take in what a probe found.
+
+        :param held: requests that the upstream works on or has waiting.
+        :param slowdown: the slowdown that it reported, if any.
+        """
+        known = self._upstreams.get(upstream)
+        if known is None:
+            return
+        known.observe(held, slowdown, now)
+        if slowdown is not None:
+            self._usual_slowdown += SMOOTHING * (slowdown - self._usual_slowdown)
+
+    def probe_failed(self, upstream: str) -> None:
+        """Note that an upstream left a probe unanswered."""
         known = self._upstreams.get(upstream)
         if known is not None:
-            report = health.Report(health.Outcome.UNUSED, slowdown=slowdown)
-            known.finish(None, report, now)
-            self._learn_slowdown(slowdown)
+            known.probe_failed()
 
     def poll(self, now: float) -> list[Decision]:
         """Return what has been decided for waiting requests: call after every change."""
@@ -262,8 +289,13 @@
         """Hand out the slot with the earliest expected answer, if any upstream has room."""
         best: tuple[float, float, str] | None = None
         explores = bool(self._waiting) and self._limit.explores()
-        for id_, upstream in self._candidates(ask, now):
-            if not self._has_room(upstream, explores) or upstream.full(now):
+        candidates = self._candidates(ask, now)
+        calm = any(not upstream.disturbed(now) for _, upstream in candidates)
+        for id_, upstream in candidates:
+            if not self._has_room(upstream, explores, now) or upstream.full(now):
+                continue
+            if calm and upstream.disturbed(now):
+                # Its free slots serve better once its neighbours are calm, which is soon.
                 continue
             cost = self._cost(ask, upstream, now)
             candidate = (cost, upstream.granted_at, id_)
@@ -272,13 +304,13 @@
         if best is None:
             return None
         id_ = best[2]
-        expected_s = self._upstreams[id_].expected_s(now, self._mean_s, self._usual_slowdown)
+        expected_s = self._upstreams[id_].expected_s(now, self._mean_s)
         self._occupy(ask, id_, now)
         return Grant(ask, id_, expected_s)
 
     def _cost(self, ask: Ask, upstream: health.Health, now: float) -> float:
         """Return the expected time of the answer in seconds, with what else speaks against it."""
-        cost = upstream.expected_s(now, self._mean_s, self._usual_slowdown)
+        cost = upstream.expected_s(now, self._mean_s)
         cost *= 1 + upstream.in_flight / (2 * upstream.upstream.slots)
         if upstream.upstream.data_centre != ask.data_centre:
             cost += CROSSING_S + CROSSING_S_PER_BYTE * ask.size
@@ -290,18 +322,20 @@
         Where all are avoided, any is better than none: what speaks against them may be wrong.
         """
         allowed = [item for item in self._upstreams.items() if item[0] not in ask.excluded]
-        sound = [item for item in allowed if not self._avoided(item[1], now)]
+        sound = [item for item in allowed if not self.avoids(item[1], now)]
         if sound or ask.hedge or ask.borrowed:
             return sound
         return allowed
 
-    def _avoided(self, upstream: health.Health, now: float) -> bool:
-        expected_s = upstream.expected_s(now, self._mean_s, self._usual_slowdown)
-        return upstream.ejected(now) or upstream.stalled(now, expected_s)
+    def avoids(self, upstream: health.Health, now: float) -> bool:
+        """Whether an upstream gets no requests while others are sound."""
+        expected_s = upstream.expected_s(now, self._mean_s)
+        return upstream.silent or upstream.ejected(now) or upstream.stalled(now, expected_s)
 
-    def _has_room(self, upstream: health.Health, explores: bool) -> bool:
+    def _has_room(self, upstream: health.Health, explores: bool, now: float) -> bool:
         limit = self._limit_of(upstream) + (1 if explores else 0)
-        return upstream.in_flight < min(limit, upstream.upstream.slots)
+        taken = upstream.in_flight + upstream.others(now)
+        return taken < min(limit, upstream.upstream.slots)
 
     def _limit_of(self, upstream: health.Health) -> int:
         return max(1, int(self._limit.value(upstream.upstream.slots) * self._share))
@@ -335,7 +369,7 @@
             return
         key = (ask.holder, ask.key)
         self._slots[key] = (id_, now + ask.left_s + SLOT_SLACK_S)
-        upstream.start(key, now, self._usual_slowdown)
+        upstream.start(key, now)
 
     def _expire_slots(self, now: float) -> None:
         for (holder, key), (_, until) in list(self._slots.items()):
@@ -351,18 +385,11 @@
 
     # Averages
 
-    def _learn(
-        self, upstream: health.Health, concurrency: int, slowdown: float, report: health.Report
-    ) -> None:
+    def _learn(self, upstream: health.Health, flight: health.Flight, now: float) -> None:
         """Learn the time of work from an answer."""
-        during = slowdown
-        if report.slowdown is not None:
-            during = (slowdown + report.slowdown) / 2
-            self._learn_slowdown(report.slowdown)
-        undisturbed_s = report.seconds / max(1.0, during)
-        upstream.learn_speed(undisturbed_s / self._mean_s)
-        self._mean_s += SMOOTHING * (undisturbed_s - self._mean_s)
-        self._limit.record(concurrency, undisturbed_s / upstream.speed)
-
-    def _learn_slowdown(self, slowdown: float) -> None:
-        self._usual_slowdown += SMOOTHING * (slowdown - self._usual_slowdown)
+        work_s = upstream.work_clock(now) - flight.work_at_start
+        elapsed_s = now - flight.started_at
+        upstream.learn(work_s, self._mean_s, elapsed_s)
+        self._mean_s += SMOOTHING * (work_s - self._mean_s)
+        self._mean_elapsed_s += SMOOTHING * (elapsed_s - self._mean_elapsed_s)
+        self._limit.record(flight.concurrency, work_s / upstream.speed)
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -11,7 +11,7 @@
 from waxwingspool.catalog import node, routes, upstreams
 from waxwingspool.dispatch import budget, split
 from waxwingspool.edge import status, view
-from waxwingspool.fleet import beliefs, frames, link, members, slots
+from waxwingspool.fleet import beliefs, frames, link, members, probes, slots
 from waxwingspool.fleet import store as store_client
 from waxwingspool.observe import counters, eventlog
 from waxwingspool.platform import headers, settings
@@ -62,6 +62,7 @@
         self._forwarder = forward.Forwarder(
             self._view, self._slots, self._pool, headers.DIALECT, self._new_budget, self._splitter
         )
+        self._prober = probes.Prober(own.ip, self._slots, self._health_path, headers.DIALECT)
         self._connections: set[caller.Connection] = set()
         self._stopping = asyncio.Event()
 
@@ -77,6 +78,7 @@
         parts.add("register", self._register)
         parts.add("slots", self._slots.run)
         parts.add("pool", self._pool.run)
+        parts.add("probes", self._prober.run)
         parts.add("tick", self._tick)
         running = asyncio.create_task(parts.run())
         eventlog.event("process.started", name=self._own.name, ip=self._own.ip, pid=os.getpid())
@@ -106,6 +108,11 @@
         table = self._view.table
         return routes.Limits() if table is None else table.limits
 
+    def _health_path(self, service: str) -> str | None:
+        table = self._view.table
+        known = None if table is None else table.services.get(service)
+        return None if known is None else known.health_path
+
     def _page(self, path: str) -> tuple[int, str]:
         """Return readiness or metrics."""
         if path != headers.READINESS_PATH:
--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -15,6 +15,7 @@
 from waxwingspool.catalog import node, upstreams
 from waxwingspool.dispatch import election, health, slots
 from waxwingspool.fleet import frames, link, members
+from waxwingspool.observe import eventlog
 
 __all__ = ["Refused", "Slot", "Slots"]
 
@@ -22,6 +23,8 @@
 REPLY_SLACK_S = 0.2
 # Interval at which waiting requests are looked at when nothing else happens, in seconds.
 POLL_S = 0.02
+# Interval at which the state of a dispatcher is logged, in seconds.
+STATE_LOG_S = 1.0
 # Part of the region's concurrency that a balancer uses on its own, times the balancers there.
 LOCAL_SHARE = 2.0
 # Round trip to another region and back, in seconds, that a borrowed slot costs.
@@ -97,6 +100,36 @@
         """Return the dispatchers that this balancer is, by service."""
         return self._own
 
+    def probed(self, active_s: float) -> list[upstreams.Upstream]:
+        """Return the upstreams whose load is worth knowing.
+
+        :param active_s: time in seconds since the last request for which a service counts as used.
+        """
+        now = time.monotonic()
+        dispatchers = (*self._own.values(), *self._local.values())
+        active = [d for d in dispatchers if d.idle_s(now) < active_s]
+        found = {b.upstream.id: b.upstream for d in active for b in d.beliefs.values()}
+        return list(found.values())
+
+    def observe(self, target: upstreams.Upstream, held: int, slowdown: float | None) -> None:
+        """Take in what a probe found.
+
+        :param held: requests that the upstream works on or has waiting.
+        """
+        now = time.monotonic()
+        for dispatchers in (self._own, self._local):
+            dispatcher = dispatchers.get(target.service)
+            if dispatcher is not None:
+                dispatcher.observe(target.id, held, slowdown, now)
+        self._settle()
+
+    def probe_failed(self, target: upstreams.Upstream) -> None:
+        """Note that an upstream left a probe unanswered."""
+        for dispatchers in (self._own, self._local):
+            dispatcher = dispatchers.get(target.service)
+            if dispatcher is not None:
+                dispatcher.probe_failed(target.id)
+
     # Asking
 
     async def acquire(
@@ -346,10 +379,33 @@
 
     async def run(self) -> None:
         """Turn waiting requests away when their time is over, until cancelled."""
+        logged_at = time.monotonic()
         while True:
             await asyncio.sleep(POLL_S)
             if any(dispatcher.waiting for dispatcher in self._own.values()):
                 self._settle()
+            if time.monotonic() - logged_at > STATE_LOG_S:
+                logged_at = time.monotonic()
+                self._log_state(logged_at)
+
+    def _log_state(self, now: float) -> None:
+        """Log what the dispatchers of this process believe, where they have work."""
+        for service, dispatcher in self._own.items():
+            if not dispatcher.in_flight and not dispatcher.waiting:
+                continue
+            beliefs = dispatcher.beliefs.values()
+            eventlog.event(
+                "dispatcher.state",
+                service=service,
+                upstreams=len(beliefs),
+                avoided=sum(1 for belief in beliefs if dispatcher.avoids(belief, now)),
+                capacity=dispatcher.capacity(now),
+                in_flight=dispatcher.in_flight,
+                waiting=dispatcher.waiting,
+                limit_of_four=dispatcher.limit(4),
+                mean_s=dispatcher.mean_s,
+                usual_slowdown=dispatcher.usual_slowdown,
+            )
 
     def _settle(self) -> None:
         """Send out what has been decided for waiting requests."""
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -42,6 +42,7 @@
 class _Job:
     """One request on its way.
 
+    :ivar patience_s: how long the caller said that it waits, in seconds.
     :ivar ends_at: time of the event loop at which its time is over.
     :ivar may_have_run: whether an upstream may have run it.
     """
@@ -51,6 +52,7 @@
     route: routes.Route
     service: str
     request_id: bytes
+    patience_s: float
     ends_at: float
     body: bytes = b""
     sent: int = 0
@@ -122,10 +124,11 @@
             name = self._names.request_id.decode()
             self._answer_early(connection, request, 400, f"the header {name} is missing")
             return None
-        ends_at = request.arrived_at + min(route.timeout_s, self._left_s(request, route))
+        patience_s = self._patience_s(request, route)
+        ends_at = request.arrived_at + min(route.timeout_s, patience_s)
         service = self._splitter.pick(route)
         self._budget(service).request(time.monotonic())
-        return _Job(connection, request, route, service, request_id, ends_at)
+        return _Job(connection, request, route, service, request_id, patience_s, ends_at)
 
     def _answer_early(
         self, connection: caller.Connection, request: caller.Request, status: int, reason: str
@@ -144,7 +147,7 @@
         counters.answered("own", status)
         connection.answer(request, status, reason, headers)
 
-    def _left_s(self, request: caller.Request, route: routes.Route) -> float:
+    def _patience_s(self, request: caller.Request, route: routes.Route) -> float:
         """Return how long the caller waits, in seconds."""
         value = message.first(request.headers, self._names.time_left)
         if value is None or not value.strip().isdigit():
@@ -422,6 +425,7 @@
             upstreams=",".join(job.tried),
             seconds=now - job.request.arrived_at,
             left_s=job.ends_at - now,
+            patience_s=job.patience_s,
         )
         counters.finished(job.service, outcome, now - job.request.arrived_at)
 
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -10,8 +10,8 @@
 
 __all__ = ["Broken", "Connection", "Fault", "Response", "connect"]
 
-# Kernel limit on unacknowledged data before a silent peer counts as gone, in milliseconds.
-USER_TIMEOUT_MS = 5000
+# More bytes than any body has: waits for the whole of it.
+WHOLE = 1 << 62
 
 
 class Fault(enum.StrEnum):
