--- a/waxwingspool/catalog/node.py
+++ b/waxwingspool/catalog/node.py
@@ -36,6 +36,7 @@
     :ivar readiness_address: where the entry asks whether the balancer takes connections.
     :ivar peer_port: port on which balancers talk to each other, the same on all of them.
     :ivar store_address: the metadata store.
+    :ivar first_start: whether the whole deployment starts for the first time.
     :ivar regions: region of each data centre.
     """
 
@@ -48,5 +49,6 @@
     peer_port: int
     metrics_port: int
     store_address: Address
+    first_start: bool
     regions: dict[str, str]
     bounds: Bounds
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -163,6 +163,14 @@
 
     def _receive(self, channel: link.Channel, frame: frames.Frame) -> None:
         """Hand a peer's frame to the part that it is for."""
+        if isinstance(frame, frames.SLOT_FRAMES):
+            self._receive_about_slots(channel, frame)
+        elif isinstance(frame, frames.Leaving):
+            self._links.suspect(channel.peer, "it is stopping")
+        else:
+            self._beliefs.receive(channel, frame)
+
+    def _receive_about_slots(self, channel: link.Channel, frame: frames.Frame) -> None:
         match frame:
             case frames.Ask() if self._stopping.is_set():
                 channel.send(frames.Leaving())
@@ -174,18 +182,6 @@
                 self._slots.receive_release(channel, frame)
             case frames.Held():
                 self._slots.receive_held(channel, frame)
-            case frames.Subscribe():
-                self._beliefs.subscribe(channel, frame.versions)
-            case frames.Cancel():
-                self._beliefs.unsubscribe(channel)
-            case frames.Rows() if self._beliefs.receive_rows(frame):
-                channel.send(frames.Behind(frame.table))
-            case frames.Behind():
-                self._beliefs.send_listing(channel, frame.table)
-            case frames.Fresh():
-                self._beliefs.receive_freshness(channel, frame)
-            case frames.Leaving():
-                self._links.suspect(channel.peer, "it is stopping")
 
     def _lost(self, channel: link.Channel) -> None:
         self._slots.lost(channel)
--- a/waxwingspool/fleet/beliefs.py
+++ b/waxwingspool/fleet/beliefs.py
@@ -25,15 +25,20 @@
 
 # How long a feed call waits for changes, in seconds. Shorter finds a silent connection sooner;
 # every call is paid for.
-FEED_WAIT_S = 0.7
+FEED_WAIT_S = 0.9
 # The same for members, whose rows are only hints.
 MEMBERS_WAIT_S = 8.0
 # Age of rows at which a balancer no longer relies on its reader, in seconds: one feed call, its
 # longest normal answer and a lost packet, and less than half of the shortest time within which a
 # configuration must be in force.
-STALE_S = 1.25
+STALE_S = 1.5
 # Pause after a failed call, in seconds, with as much again at random.
 FAILED_PAUSE_S = 0.15
+# Pause after changes, in seconds, so that those of a burst come in few calls.
+BURST_PAUSE_S = 0.1
+# Time in seconds that the balancers of a new deployment give each other to register before they
+# choose readers; they start within 0.3 s.
+SETTLE_S = 0.7
 # Interval of the choice of a reader, in seconds.
 TICK_S = 0.2
 # Gap between two readings that is taken for an outage of the store, in seconds.
@@ -119,7 +124,9 @@
 
     async def run(self) -> None:
         """Keep the copies fresh until cancelled."""
-        self._start_reading()
+        if self._settings.first_start:
+            await asyncio.sleep(SETTLE_S)
+        await self._list_members()
         try:
             while True:
                 self._choose()
@@ -127,6 +134,20 @@
         finally:
             self._stop_reading()
 
+    def receive(self, channel: link.Channel, frame: frames.Frame) -> None:
+        """Take a peer's frame about rows."""
+        match frame:
+            case frames.Subscribe():
+                self.subscribe(channel, frame.versions)
+            case frames.Cancel():
+                self._subscribers.discard(channel)
+            case frames.Rows() if self.receive_rows(frame):
+                channel.send(frames.Behind(frame.table))
+            case frames.Behind() if frame.table in self._copies:
+                self._send_listing(channel, frame.table)
+            case frames.Fresh():
+                self.receive_freshness(channel, frame)
+
     def subscribe(self, channel: link.Channel, versions: dict[str, int]) -> None:
         """Pass rows on to a peer from now on."""
         if channel not in self._subscribers:
@@ -138,15 +159,6 @@
         channel.send(self._freshness())
         self._start_reading()
 
-    def unsubscribe(self, channel: link.Channel) -> None:
-        """Pass no more rows on to a peer."""
-        self._subscribers.discard(channel)
-
-    def send_listing(self, channel: link.Channel, table: str) -> None:
-        """Send a peer that missed rows the complete table."""
-        if table in self._copies:
-            self._send_listing(channel, table)
-
     def receive_rows(self, frame: frames.Rows) -> bool:
         """Take over rows from a peer; return whether rows before them are missing."""
         copy = self._copies.get(frame.table)
@@ -180,19 +192,28 @@
 
     # Choice of a reader
 
+    async def _list_members(self) -> None:
+        """Read the members once, to choose a reader among them."""
+        try:
+            page = await self._client.listing(members.TABLE)
+        except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
+            eventlog.event("members.not-listed", error=error)
+            return
+        self._take(members.TABLE, page.rows, page.version, True)
+
     def _choose(self) -> None:
         """Follow the reader that ranks first, or read."""
         now = time.monotonic()
         own = self._settings.ip
-        if self._reader is not None and now - self._follow_since > STALE_S and self.age_s > STALE_S:
+        stale = self.age_s > STALE_S and now - self._follow_since > STALE_S
+        if self._reader is not None and stale:
             self._links.suspect(self._reader, f"rows are {self.age_s:.2f} s old")
             self._unfollow()
         candidate = self._candidate()
         if candidate == own:
             self._unfollow()
-        elif candidate != self._reader and self.complete:
+        elif candidate != self._reader:
             self._follow(candidate)
-        stale = self.age_s > STALE_S
         if self._reader is None or self._subscribers or stale:
             self._start_reading()
         else:
@@ -277,6 +298,8 @@
             complete = copy.version < 0 or relist
             relist = False
             self._take(table, page.rows, page.version, complete)
+            if page.rows:
+                await asyncio.sleep(BURST_PAUSE_S)
 
     # Taking over rows
 
--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -15,6 +15,7 @@
     "Refused",
     "Release",
     "Rows",
+    "SLOT_FRAMES",
     "Subscribe",
     "decode",
     "encode",
@@ -133,6 +134,9 @@
     | Behind
 )
 
+# Frames between a dispatcher and those that ask it.
+SLOT_FRAMES = (Ask, Granted, Refused, Release, Held)
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
 
--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -9,10 +9,11 @@
 
 __all__ = ["HistoryGone", "StoreClient"]
 
-# Longest wait for an answer besides the wait that was asked for, in seconds.
-ANSWER_TIMEOUT_S = 0.9
-# Longest wait for a connection, in seconds.
-CONNECT_TIMEOUT_S = 0.6
+# Shortest and longest wait for an answer besides the wait that was asked for, in seconds. It
+# doubles after a timeout, for the store may be slow, and falls again with each answer; the
+# shortest finds a silent connection in time.
+LEAST_ANSWER_S = 0.5
+MOST_ANSWER_S = 4.0
 # Idle time after which a connection is not used again, in seconds.
 KEEP_S = 20.0
 _GONE = 410
@@ -33,6 +34,7 @@
         self._idle: list[upstream.Connection] = []
         ip, port = settings.store_address
         self._host = f"{ip}:{port}".encode()
+        self._answer_s = LEAST_ANSWER_S
         self.calls = 0
 
     async def listing(self, table: str) -> store.Page:
@@ -44,7 +46,7 @@
         start: str | None = None
         version: int | None = None
         while True:
-            page = await self._page(store.listing_request(table, start), ANSWER_TIMEOUT_S)
+            page = await self._page(store.listing_request(table, start), 0.0)
             rows += page.rows
             # Later pages may be newer: the feed goes on from the oldest.
             version = page.version if version is None else version
@@ -59,7 +61,7 @@
         :raises waxwingspool.exceptions.StoreUnavailable: the store did not answer.
         """
         target = store.changes_request(table, after, wait_s)
-        return await self._page(target, wait_s + ANSWER_TIMEOUT_S)
+        return await self._page(target, wait_s)
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write one row.
@@ -67,27 +69,31 @@
         :raises waxwingspool.exceptions.StoreUnavailable: it may or may not have been written.
         """
         target, body = store.put_request(table, key, value)
-        await self._call(b"POST", target, body, ANSWER_TIMEOUT_S)
+        await self._call(b"POST", target, body, 0.0)
 
-    async def _page(self, target: str, timeout_s: float) -> store.Page:
-        return store.decode_page(await self._call(b"GET", target, b"", timeout_s))
+    async def _page(self, target: str, wait_s: float) -> store.Page:
+        return store.decode_page(await self._call(b"GET", target, b"", wait_s))
 
-    async def _call(self, method: bytes, target: str, body: bytes, timeout_s: float) -> bytes:
+    async def _call(self, method: bytes, target: str, body: bytes, wait_s: float) -> bytes:
         """Make one call and return the body of its answer."""
         self.calls += 1
         connection = None
         kept = False
         try:
-            async with asyncio.timeout(timeout_s + CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(wait_s + self._answer_s):
                 connection = await self._connection()
                 answer = await self._exchange(connection, method, target, body)
                 kept = True
-        except (OSError, TimeoutError, upstream.Broken) as error:
+        except TimeoutError as error:
+            self._answer_s = min(MOST_ANSWER_S, 2 * self._answer_s)
+            raise exceptions.StoreUnavailable("no answer in time") from error
+        except (OSError, upstream.Broken) as error:
             raise exceptions.StoreUnavailable(f"{type(error).__name__}: {error}") from error
         finally:
             if connection is not None and not kept:
                 connection.abort()
         status, data = answer
+        self._answer_s = max(LEAST_ANSWER_S, self._answer_s / 2)
         if connection.finish():
             self._idle.append(connection)
         if status == _GONE:
@@ -104,7 +110,7 @@
                 return connection
             connection.abort()
         return await upstream.connect(
-            self._settings.store_address, self._settings.ip, CONNECT_TIMEOUT_S, None
+            self._settings.store_address, self._settings.ip, self._answer_s, None
         )
 
     async def _exchange(
--- a/waxwingspool/platform/settings.py
+++ b/waxwingspool/platform/settings.py
@@ -21,6 +21,8 @@
     ip: str
     zone: str
     region: str
+    # Whether the whole system starts for the first time.
+    bootstrap: bool = False
 
 
 class _Listen(msgspec.Struct, rename="kebab"):
@@ -115,6 +117,7 @@
         peer_port=first_port,
         metrics_port=last_port,
         store_address=address(file.platform.platform.address),
+        first_start=file.self_.bootstrap,
         regions=file.network.zones,
         bounds=node.Bounds(
             drain_s=bounds.drain_ms / 1000,
