Learn the concurrency limit from rates of answers, and shorten queue and Retry-After

Cause: the time of single answers mixes what happened at several concurrencies, and an exploring grant was tried at every poll, so the replay of twice the capacity learned 4 of 4 slots where 3 answer most (13.6 against 9.8 a second). A queue of a quarter of the objective and a Retry-After of 0.3 of it left third tries late. Red while this is worked on: two replays of disturbed machines ask for more gain than the mechanism gives there.

--- a/waxwingspool/dispatch/health.py
+++ b/waxwingspool/dispatch/health.py
@@ -77,12 +77,10 @@
 
     :ivar started_at: monotonic time in seconds.
     :ivar work_at_start: the upstream's work clock then, in seconds.
-    :ivar concurrency: requests there meanwhile, itself included.
     """
 
     started_at: float
     work_at_start: float
-    concurrency: int
 
 
 class Health:
@@ -98,6 +96,7 @@
         self.drag = 1.0
         self._work = 0.0
         self._work_at = 0.0
+        self._span_started = 0.0
         self.granted_at = float("-inf")
         self._slowdown = 1.0
         self._slowdown_at = float("-inf")
@@ -144,6 +143,16 @@
         """
         return self._work + (now - self._work_at) / self._slowdown
 
+    def end_span(self, now: float) -> tuple[int, float]:
+        """End a span of constant concurrency.
+
+        :returns: the concurrency, and its time in seconds on an upstream of usual speed.
+        """
+        work = self.work_clock(now)
+        span_s = (work - self._span_started) / self.speed
+        self._span_started = work
+        return self.in_flight + self.others(now), span_s
+
     def expected_s(self, now: float, mean_s: float) -> float:
         """Return the expected time of one more request in seconds.
 
@@ -175,7 +184,7 @@
 
     def start(self, key: object, now: float) -> None:
         """Count a request in."""
-        self.flights[key] = Flight(now, self.work_clock(now), self.in_flight + 1)
+        self.flights[key] = Flight(now, self.work_clock(now))
         self.granted_at = now
 
     def finish(self, key: object, report: Report, now: float) -> Flight | None:
@@ -183,12 +192,9 @@
 
         :returns: the request's start, ``None`` if it is not known.
         """
-        in_flight = self.in_flight
         flight = self.flights.pop(key, None)
         if report.slowdown is not None:
             self._take_slowdown(report.slowdown, now)
-        if flight is not None:
-            flight.concurrency = (flight.concurrency + in_flight + 1) // 2
         match report.outcome:
             case Outcome.ANSWERED:
                 self._succeed(now)
--- a/waxwingspool/dispatch/limits.py
+++ b/waxwingspool/dispatch/limits.py
@@ -1,22 +1,26 @@
 """How many requests an upstream should work on at once.
 
 Load pattern: upstreams that slow down when nearly full. Filling every slot then lowers throughput
-and lengthens every answer, so the limit is the concurrency at which most requests were answered
-per second, found from the times of answers, and not the number of slots.
+and lengthens every answer, so the limit is the concurrency at which most requests are answered
+per second of undisturbed time, and not the number of slots.
+
+The rate of answers at each concurrency is the number of answers that came while an upstream had
+that many requests, over the time that it had them. Unlike the time of single answers it does not
+mix what happened at several concurrencies.
 """
 
 __all__ = ["ConcurrencyLimit"]
 
 # Share of the slots to start from; shared machines are commonly run at three quarters.
 START_SHARE = 0.75
-# Weight of the newest time in the average of a concurrency.
-SMOOTHING = 0.08
-# Answers at a concurrency before its average is believed.
-BELIEVED_AFTER = 12
-# One grant in this many may go one above the limit, to learn the time there.
-EXPLORE_EVERY = 25
-# Gain in throughput below which the lower concurrency is kept.
-LEAST_GAIN = 1.15
+# Answers at a concurrency before its rate is believed.
+BELIEVED_AFTER = 15
+# One grant in this many may go one above the limit, to learn the rate there.
+EXPLORE_EVERY = 50
+# Gain in the rate of answers that is worth one more request at once.
+LEAST_GAIN = 1.12
+# Answers after which the past counts half, so that the limit follows a change.
+HALF_LIFE = 600
 
 
 class ConcurrencyLimit:
@@ -25,29 +29,31 @@
     >>> limit = ConcurrencyLimit()
     >>> limit.value(4)
     3
-    >>> for n in range(12):
-    ...     limit.record(3, 0.1)
-    ...     limit.record(4, 0.11)
+    >>> for n in range(20):
+    ...     limit.record(3, 0.1, answered=True)
+    ...     limit.record(4, 0.075, answered=True)
     >>> limit.value(4)
     4
     """
 
     def __init__(self) -> None:
-        self._times: dict[int, float] = {}
-        self._counts: dict[int, int] = {}
+        self._seconds: dict[int, float] = {}
+        self._answers: dict[int, float] = {}
+        self._total = 0
         self._grants = 0
 
-    def record(self, concurrency: int, seconds: float) -> None:
-        """Take in the time of an answer.
+    def record(self, concurrency: int, seconds: float, answered: bool) -> None:
+        """Take in a span during which an upstream had a number of requests.
 
-        :param concurrency: requests at the upstream meanwhile, itself included.
-        :param seconds: its time, cleared of what the upstream's machine slows down for others.
+        :param concurrency: that number.
+        :param seconds: length of the span, cleared of disturbance by others.
+        :param answered: whether the span ended with an answer.
         """
-        known = self._times.get(concurrency)
-        count = self._counts.get(concurrency, 0) + 1
-        weight = max(SMOOTHING, 1 / count)
-        self._times[concurrency] = seconds if known is None else known + weight * (seconds - known)
-        self._counts[concurrency] = count
+        self._seconds[concurrency] = self._seconds.get(concurrency, 0.0) + seconds
+        self._answers[concurrency] = self._answers.get(concurrency, 0.0) + answered
+        self._total += answered
+        if self._total >= HALF_LIFE:
+            self._forget_half()
 
     def value(self, slots: int) -> int:
         """Return the limit for an upstream.
@@ -55,21 +61,32 @@
         :param slots: requests that it can work on at once.
         """
         best = max(1, int(slots * START_SHARE))
-        for concurrency in range(1, slots + 1):
-            if self._believed(concurrency) and self._believed(best):
-                best = self._better(best, concurrency)
+        while best < slots and self._gain(best, best + 1) > LEAST_GAIN:
+            best += 1
+        while best > 1 and 0 < self._gain(best - 1, best) < 1 / LEAST_GAIN:
+            best -= 1
         return best
 
+    @property
     def explores(self) -> bool:
-        """Return whether the next grant may go one above the limit."""
+        """Whether the next grant may go one above the limit."""
+        return self._grants % EXPLORE_EVERY == EXPLORE_EVERY - 1
+
+    def granted(self) -> None:
+        """Count a grant."""
         self._grants += 1
-        return self._grants % EXPLORE_EVERY == 0
 
-    def _believed(self, concurrency: int) -> bool:
-        return self._counts.get(concurrency, 0) >= BELIEVED_AFTER
+    def _gain(self, low: int, high: int) -> float:
+        """Return the rate at one concurrency over that at a lower one; 0 if not yet known."""
+        if min(self._answers.get(low, 0), self._answers.get(high, 0)) < BELIEVED_AFTER:
+            return 0.0
+        return self._rate(high) / self._rate(low)
+
+    def _rate(self, concurrency: int) -> float:
+        return self._answers[concurrency] / max(1e-9, self._seconds[concurrency])
 
-    def _better(self, one: int, other: int) -> int:
-        """Return the concurrency with the higher throughput, the lower one on a near tie."""
-        low, high = sorted((one, other))
-        gain = (high / self._times[high]) / (low / self._times[low])
-        return high if gain > LEAST_GAIN else low
+    def _forget_half(self) -> None:
+        self._total = 0
+        for counts in (self._seconds, self._answers):
+            for concurrency in counts:
+                counts[concurrency] /= 2
--- a/waxwingspool/dispatch/slots.py
+++ b/waxwingspool/dispatch/slots.py
@@ -14,16 +14,16 @@
 from waxwingspool.catalog import upstreams
 from waxwingspool.dispatch import health, limits
 
-__all__ = ["Ask", "Decision", "Dispatcher", "Grant", "Refusal"]
+__all__ = ["Ask", "Decision", "Dispatcher", "Grant", "Refusal", "retry_after_s"]
 
 # Part of the latency objective that a request may wait for a slot: waiting longer leaves too
 # little of the objective for the work itself.
-QUEUE_SHARE = 0.25
+QUEUE_SHARE = 0.15
 # Retry-After as a part of the latency objective, and its spread to both sides, so that callers
 # come back within their objective and not together.
-RETRY_SHARE = 0.3
+RETRY_SHARE = 0.15
 RETRY_SPREAD = 0.4
-LEAST_RETRY_S = 0.1
+LEAST_RETRY_S = 0.05
 # Largest part of the caller's remaining time that Retry-After may take; callers cap it there.
 RETRY_OF_TIME_LEFT = 0.3
 # Weight of the newest answer in the averages of a service.
@@ -109,6 +109,19 @@
     until: float
 
 
+def retry_after_s(objective_s: float) -> float:
+    """Return when a refused caller may come back, in seconds.
+
+    Early enough that two refusals still leave most of the objective for the work.
+
+    :param objective_s: latency objective of the route in seconds.
+
+    >>> retry_after_s(1.0)
+    0.15
+    """
+    return max(LEAST_RETRY_S, RETRY_SHARE * objective_s)
+
+
 class Dispatcher:
     """The slots of one service's upstreams.
 
@@ -223,8 +236,11 @@
         upstream = self._upstreams.get(slot[0])
         if upstream is None:
             return
+        concurrency, span_s = upstream.end_span(now)
+        answered = report.outcome is health.Outcome.ANSWERED
+        self._limit.record(concurrency, span_s, answered)
         flight = upstream.finish((holder, key), report, now)
-        if flight is not None and report.outcome is health.Outcome.ANSWERED:
+        if flight is not None and answered:
             self._learn(upstream, flight, now)
 
     def drop_holder(self, holder: str, now: float) -> None:
@@ -288,7 +304,7 @@
     def _grant(self, ask: Ask, now: float) -> Grant | None:
         """Hand out the slot with the earliest expected answer, if any upstream has room."""
         best: tuple[float, float, str] | None = None
-        explores = bool(self._waiting) and self._limit.explores()
+        explores = bool(self._waiting) and self._limit.explores
         candidates = self._candidates(ask, now)
         calm = any(not upstream.disturbed(now) for _, upstream in candidates)
         for id_, upstream in candidates:
@@ -305,6 +321,7 @@
             return None
         id_ = best[2]
         expected_s = self._upstreams[id_].expected_s(now, self._mean_s)
+        self._limit.granted()
         self._occupy(ask, id_, now)
         return Grant(ask, id_, expected_s)
 
@@ -355,7 +372,7 @@
     def refuse(self, ask: Ask, reason: str) -> Refusal:
         """Return a refusal with the time after which the caller may come back."""
         spread = 1 + RETRY_SPREAD * (2 * self._rng.random() - 1)
-        retry_s = max(LEAST_RETRY_S, RETRY_SHARE * ask.objective_s) * spread
+        retry_s = retry_after_s(ask.objective_s) * spread
         return Refusal(ask, min(retry_s, RETRY_OF_TIME_LEFT * ask.left_s), reason)
 
     def _drop_waiting(self, holder: str, key: int) -> None:
@@ -369,6 +386,7 @@
             return
         key = (ask.holder, ask.key)
         self._slots[key] = (id_, now + ask.left_s + SLOT_SLACK_S)
+        self._limit.record(*upstream.end_span(now), answered=False)
         upstream.start(key, now)
 
     def _expire_slots(self, now: float) -> None:
@@ -392,4 +410,3 @@
         upstream.learn(work_s, self._mean_s, elapsed_s)
         self._mean_s += SMOOTHING * (work_s - self._mean_s)
         self._mean_elapsed_s += SMOOTHING * (elapsed_s - self._mean_elapsed_s)
-        self._limit.record(flight.concurrency, work_s / upstream.speed)
--- /dev/null
+++ b/waxwingspool/dispatch/tests/test_replays.py
@@ -0,0 +1,94 @@
+"""Load patterns, each replayed with the mechanism that answers it and without."""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+from waxwingspool.dispatch import health, limits, slots
+from waxwingspool.dispatch.tests import replay
+
+SEEDS = (1, 2, 3)
+
+
+def total(pattern: replay.Pattern) -> replay.Outcome:
+    """Return the sum over the seeds."""
+    outcomes = [replay.replay(dataclasses.replace(pattern, seed=seed)) for seed in SEEDS]
+    fields = dataclasses.fields(replay.Outcome)
+    summed = {f.name: sum(getattr(o, f.name) for o in outcomes) for f in fields}
+    summed["longest_wait_s"] = max(o.longest_wait_s for o in outcomes)
+    return replay.Outcome(**summed)
+
+
+class DisturbedMachinesTest(unittest.TestCase):
+    """A third of the time neighbours slow an upstream down sevenfold, for half a second."""
+
+    pattern = replay.Pattern(rate=45.0)
+
+    def test_disturbed_upstreams_are_left_alone(self) -> None:
+        with_rule = total(self.pattern)
+        with mock.patch.object(health, "DISTURBED", float("inf")):
+            without = total(self.pattern)
+        self.assertGreater(with_rule.in_time, 1.1 * without.in_time)
+
+    def test_probes_find_disturbances_in_time(self) -> None:
+        with_probes = total(self.pattern)
+        without = total(dataclasses.replace(self.pattern, probe_s=None))
+        self.assertGreater(with_probes.in_time, 1.1 * without.in_time)
+
+
+class OverloadTest(unittest.TestCase):
+    """Twice as many requests as the upstreams can answer, and callers that come back."""
+
+    pattern = replay.Pattern(rate=160.0, disturbed=0.0, seconds=15.0)
+    # Three of four slots of seven upstreams; four would make each request take 1.7 times as long.
+    capacity_per_s = 7 * 3 / 0.22
+
+    def test_most_of_the_capacity_still_serves_in_time(self) -> None:
+        outcome = total(self.pattern)
+        possible = self.capacity_per_s * self.pattern.seconds * len(SEEDS)
+        self.assertGreater(outcome.in_time, 0.8 * possible)
+        self.assertEqual(outcome.lost, 0)
+
+    def test_full_upstreams_serve_fewer_in_time(self) -> None:
+        limited = total(self.pattern)
+        with (
+            mock.patch.object(limits, "START_SHARE", 1.0),
+            mock.patch.object(slots, "QUEUE_SHARE", 3.0),
+        ):
+            filled = total(self.pattern)
+        self.assertGreater(limited.in_time, 1.3 * filled.in_time)
+
+    def test_nobody_is_held_for_long(self) -> None:
+        outcome = total(self.pattern)
+        allowed = slots.QUEUE_SHARE * self.pattern.objective_s + 2 * replay.STEP_S
+        self.assertLessEqual(outcome.longest_wait_s, allowed)
+
+    def test_urgent_requests_go_first(self) -> None:
+        outcome = total(dataclasses.replace(self.pattern, urgent_share=0.2))
+        urgent = outcome.urgent_in_time / outcome.urgent_asked
+        others = (outcome.in_time - outcome.urgent_in_time) / (outcome.asked - outcome.urgent_asked)
+        self.assertGreater(urgent, 0.95)
+        self.assertGreater(urgent, others)
+
+
+class UnequalUpstreamsTest(unittest.TestCase):
+    """Some upstreams are slow or have stopped answering."""
+
+    def test_slow_upstreams_get_little(self) -> None:
+        pattern = replay.Pattern(rate=30.0, disturbed=0.0, slow=2)
+        outcome = total(pattern)
+        self.assertGreater(outcome.in_time, 0.97 * outcome.asked)
+
+    def test_silent_upstreams_are_found_by_probes(self) -> None:
+        pattern = replay.Pattern(rate=30.0, disturbed=0.0, dead=2)
+        probed = total(pattern)
+        blind = total(dataclasses.replace(pattern, probe_s=None))
+        self.assertLess(probed.lost, blind.lost / 2)
+
+    def test_work_of_other_dispatchers_is_counted(self) -> None:
+        pattern = replay.Pattern(rate=30.0, disturbed=0.0, strangers=2)
+        counted = total(pattern)
+        with mock.patch.object(health.Health, "others", lambda self, now: 0):
+            ignored = total(pattern)
+        self.assertGreaterEqual(counted.in_time, ignored.in_time)
+        self.assertGreater(counted.in_time, 0.9 * counted.asked)
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -8,6 +8,7 @@
 
 from waxwingspool.catalog import routes
 from waxwingspool.dispatch import budget, health, split
+from waxwingspool.dispatch import slots as dispatch_slots
 from waxwingspool.fleet import slots
 from waxwingspool.observe import counters, eventlog
 from waxwingspool.proxy import body, caller, dialect, exchange, message, pool
@@ -347,8 +348,7 @@
         if job.may_have_run:
             self._answer(job, 502, f"{reason}, and an earlier attempt failed", [])
             return
-        default_s = 0.3 * job.route.objective_s
-        text = b"%.2f" % max(0.05, retry_after_s or default_s)
+        text = b"%.2f" % (retry_after_s or dispatch_slots.retry_after_s(job.route.objective_s))
         self._answer(job, 503, reason, [(b"retry-after", text)])
 
     def _time_over(self, job: _Job) -> None:
