Read the store through capable readers, and send large frames compressed

Readers and dispatchers are picked among VMs with at least half of the region's best link and processor; frames above 1 KiB are compressed; a working reader is kept for 4 to 12 s; no table is listed before the first reader had its time.

--- a/waxwingspool/catalog/node.py
+++ b/waxwingspool/catalog/node.py
@@ -34,6 +34,8 @@
     :ivar ip: the address that the balancer's own sockets use.
     :ivar caller_address: where callers connect.
     :ivar readiness_address: where the entry asks whether the balancer takes connections.
+    :ivar link_mbps: bandwidth of the VM's own link in megabits a second.
+    :ivar cores: processor cores that the process may use, a fraction on a shared one.
     :ivar peer_port: port on which balancers talk to each other, the same on all of them.
     :ivar store_address: the metadata store.
     :ivar first_start: whether the whole deployment starts for the first time.
@@ -46,6 +48,8 @@
     region: str
     caller_address: Address
     readiness_address: Address
+    link_mbps: float
+    cores: float
     peer_port: int
     metrics_port: int
     store_address: Address
--- a/waxwingspool/dispatch/health.py
+++ b/waxwingspool/dispatch/health.py
@@ -17,16 +17,13 @@
 LONGEST_EJECTION_S = 8.0
 # Weight of the newest time in an upstream's average speed.
 SPEED_SMOOTHING = 0.25
-# Time in seconds for which a reported slowdown is taken to go on; neighbours on shared machines
-# come and go several times a second.
-DISTURBANCE_S = 0.25
-# Age in seconds up to which a reported slowdown says how things are now.
+# Age in seconds up to which a reported slowdown says how things are now; neighbours on shared
+# machines come and go several times a second.
 REPORT_MEMORY_S = 0.4
 # Slowdown above which an upstream is better left alone until its neighbours calm down.
 DISTURBED = 2.5
-# Bound on how far one answer's time may lie off the average, and the least time that counts.
+# Bound on how far one answer's time may lie off the average.
 MOST_TIMES = 8.0
-LEAST_WORK_S = 0.001
 # Factor on the time of work during the warm-up after a start.
 COLD_FACTOR = 2.0
 # Age of the oldest unanswered request, in expected times, at which an upstream counts as stalled.
@@ -76,11 +73,11 @@
     """A request at an upstream.
 
     :ivar started_at: monotonic time in seconds.
-    :ivar work_at_start: the upstream's work clock then, in seconds.
+    :ivar slowdown: the upstream's slowdown then, which stretches the whole of the work.
     """
 
     started_at: float
-    work_at_start: float
+    slowdown: float
 
 
 class Health:
@@ -94,8 +91,6 @@
         self.flights: dict[object, Flight] = {}
         self.speed = 1.0
         self.drag = 1.0
-        self._work = 0.0
-        self._work_at = 0.0
         self._span_started = 0.0
         self.granted_at = float("-inf")
         self._slowdown = 1.0
@@ -135,22 +130,17 @@
         """Whether work there takes much longer than usual at the moment."""
         return self._slowdown > DISTURBED and now - self._slowdown_at < REPORT_MEMORY_S
 
-    def work_clock(self, now: float) -> float:
-        """Return the seconds of undisturbed work that a request could have had so far.
-
-        The clock runs slower while the upstream reports that its machine is disturbed, so the
-        difference between two readings is the time that the work itself took.
-        """
-        return self._work + (now - self._work_at) / self._slowdown
+    def slowdown(self, now: float) -> float:
+        """Return the factor on the time of work that starts now."""
+        return self._slowdown if now - self._slowdown_at < REPORT_MEMORY_S else self.drag
 
     def end_span(self, now: float) -> tuple[int, float]:
         """End a span of constant concurrency.
 
-        :returns: the concurrency, and its time in seconds on an upstream of usual speed.
+        :returns: the concurrency, and its time in seconds on a calm upstream of usual speed.
         """
-        work = self.work_clock(now)
-        span_s = (work - self._span_started) / self.speed
-        self._span_started = work
+        span_s = (now - self._span_started) / (self.speed * self._slowdown)
+        self._span_started = now
         return self.in_flight + self.others(now), span_s
 
     def expected_s(self, now: float, mean_s: float) -> float:
@@ -159,12 +149,7 @@
         :param mean_s: average time of the service's undisturbed work in seconds.
         """
         cold = COLD_FACTOR if now < self.upstream.warm_at else 1.0
-        work_s = mean_s * self.speed * cold
-        expected_s = work_s * self.drag
-        if now - self._slowdown_at < REPORT_MEMORY_S:
-            rest_s = DISTURBANCE_S * (1 - 1 / self._slowdown)
-            expected_s += min(rest_s, work_s * (self._slowdown - 1))
-        return expected_s
+        return mean_s * self.speed * cold * self.slowdown(now)
 
     def ejected(self, now: float) -> bool:
         """Whether it is set aside; after that one request at a time tries it out."""
@@ -184,7 +169,7 @@
 
     def start(self, key: object, now: float) -> None:
         """Count a request in."""
-        self.flights[key] = Flight(now, self.work_clock(now))
+        self.flights[key] = Flight(now, self.slowdown(now))
         self.granted_at = now
 
     def finish(self, key: object, report: Report, now: float) -> Flight | None:
@@ -222,21 +207,18 @@
         """Note that a probe was not answered."""
         self._unanswered_probes += 1
 
-    def learn(self, work_s: float, mean_s: float, elapsed_s: float) -> None:
+    def learn(self, work_s: float, mean_s: float, slowdown: float) -> None:
         """Take in the time of an answer.
 
         :param work_s: undisturbed time in seconds.
         :param mean_s: average undisturbed time of the service.
-        :param elapsed_s: time that passed, disturbed or not.
+        :param slowdown: the factor by which it was disturbed.
         """
         speed = min(MOST_TIMES, max(1 / MOST_TIMES, work_s / mean_s))
-        drag = min(MOST_TIMES, max(1.0, elapsed_s / max(work_s, LEAST_WORK_S)))
         self.speed += SPEED_SMOOTHING * (speed - self.speed)
-        self.drag += SPEED_SMOOTHING * (drag - self.drag)
+        self.drag += SPEED_SMOOTHING * (min(MOST_TIMES, slowdown) - self.drag)
 
     def _take_slowdown(self, slowdown: float, now: float) -> None:
-        self._work = self.work_clock(now)
-        self._work_at = now
         self._slowdown = max(1.0, slowdown)
         self._slowdown_at = now
 
--- a/waxwingspool/dispatch/slots.py
+++ b/waxwingspool/dispatch/slots.py
@@ -405,8 +405,8 @@
 
     def _learn(self, upstream: health.Health, flight: health.Flight, now: float) -> None:
         """Learn the time of work from an answer."""
-        work_s = upstream.work_clock(now) - flight.work_at_start
         elapsed_s = now - flight.started_at
-        upstream.learn(work_s, self._mean_s, elapsed_s)
+        work_s = elapsed_s / flight.slowdown
+        upstream.learn(work_s, self._mean_s, flight.slowdown)
         self._mean_s += SMOOTHING * (work_s - self._mean_s)
         self._mean_elapsed_s += SMOOTHING * (elapsed_s - self._mean_elapsed_s)
--- a/waxwingspool/fleet/beliefs.py
+++ b/waxwingspool/fleet/beliefs.py
@@ -37,8 +37,12 @@
 # Pause after changes, in seconds, so that those of a burst come in few calls.
 BURST_PAUSE_S = 0.1
 # Time in seconds that the balancers of a new deployment give each other to register before they
-# choose readers; they start within 0.3 s.
-SETTLE_S = 0.7
+# choose readers: they start within 0.3 s, and the store writes 150 rows a second.
+SETTLE_S = 2.0
+# Shortest and longest time in seconds after which a balancer leaves a working reader for one that
+# ranks higher. Spread, so that a new member does not move everybody at once.
+LEAST_STAY_S = 4.0
+MOST_STAY_S = 12.0
 # Interval of the choice of a reader, in seconds.
 TICK_S = 0.2
 # Gap between two readings that is taken for an outage of the store, in seconds.
@@ -97,6 +101,7 @@
         self._rng = random.Random()
         self._returned_at = float("-inf")
         self._follow_since = 0.0
+        self._stay_until = 0.0
 
     @property
     def complete(self) -> bool:
@@ -210,11 +215,14 @@
             self._links.suspect(self._reader, f"rows are {self.age_s:.2f} s old")
             self._unfollow()
         candidate = self._candidate()
-        if candidate == own:
+        if candidate == own and (self._reader is None or now > self._stay_until):
             self._unfollow()
-        elif candidate != self._reader:
+        elif candidate != own and (
+            self._reader is None or (candidate != self._reader and now > self._stay_until)
+        ):
             self._follow(candidate)
-        if self._reader is None or self._subscribers or stale:
+        waited_s = now - self._follow_since
+        if self._reader is None or self._subscribers or min(waited_s, self.age_s) > STALE_S:
             self._start_reading()
         else:
             self._stop_reading()
@@ -223,7 +231,7 @@
         """Return the first in rank; past this balancer only while its own calls fail."""
         own = self._settings.ip
         job = f"reader {self._settings.region}"
-        ranking = election.ranking(job, self._members.in_region(self._settings.region))
+        ranking = election.ranking(job, self._members.capable(self._settings.region))
         failing = self._readings and self.age_s > STALE_S
         for ip in ranking:
             if ip == own and not failing:
@@ -236,6 +244,7 @@
         self._unfollow()
         self._reader = reader
         self._follow_since = time.monotonic()
+        self._stay_until = self._follow_since + self._rng.uniform(LEAST_STAY_S, MOST_STAY_S)
         eventlog.event("reader.chosen", reader=reader, age_s=self.age_s)
         asyncio.ensure_future(self._subscribe_to(reader))
 
@@ -346,13 +355,14 @@
             return
         encoded = [(row.key, row.version, row.value) for row in rows]
         after = None if complete else before
-        frame: frames.Frame = frames.Rows(table, after, self._copies[table].version, encoded)
-        fresh = self._freshness()
+        data = b""
+        if encoded or complete:
+            version = self._copies[table].version
+            data = frames.encode(frames.Rows(table, after, version, encoded))
+        if table != members.TABLE:
+            data += frames.encode(self._freshness())
         for channel in self._subscribers:
-            if encoded or complete:
-                channel.send(frame)
-            if table != members.TABLE:
-                channel.send(fresh)
+            channel.send_encoded(data)
 
     def _send_listing(self, channel: link.Channel, table: str) -> None:
         copy = self._copies[table]
--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -1,4 +1,10 @@
-"""Messages between balancers: MessagePack, each with a length of four bytes before it."""
+"""Messages between balancers: MessagePack, each with a length of four bytes before it.
+
+A large frame is compressed, and its length has the top bit set: one reader sends a configuration
+to every balancer of a region, and the links of small VMs carry a few megabits a second.
+"""
+
+import zlib
 
 import msgspec
 
@@ -23,6 +29,11 @@
 ]
 
 LENGTH_BYTES = 4
+# Top bit of the length: the frame is compressed.
+COMPRESSED = 1 << 31
+# Size in bytes above which a frame is compressed.
+COMPRESS_ABOVE_BYTES = 1024
+COMPRESSION_LEVEL = 1
 # Largest frame: a snapshot of rows, each at most 64 KiB in the store.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
@@ -144,7 +155,11 @@
 def encode(frame: Frame) -> bytes:
     """Return a frame with its length."""
     data = _encoder.encode(frame)
-    return len(data).to_bytes(LENGTH_BYTES, "big") + data
+    flag = 0
+    if len(data) > COMPRESS_ABOVE_BYTES:
+        data = zlib.compress(data, COMPRESSION_LEVEL)
+        flag = COMPRESSED
+    return (len(data) | flag).to_bytes(LENGTH_BYTES, "big") + data
 
 
 def decode(data: bytes) -> Frame:
@@ -161,16 +176,30 @@
 def split(buffer: bytearray) -> list[bytes]:
     """Remove and return the complete frames at the start of a buffer.
 
-    :raises ValueError: a frame is larger than any that balancers send.
+    :raises ValueError: a frame is larger than any that balancers send, or can't be unpacked.
     """
     found = []
     while len(buffer) >= LENGTH_BYTES:
-        size = int.from_bytes(buffer[:LENGTH_BYTES], "big")
+        field = int.from_bytes(buffer[:LENGTH_BYTES], "big")
+        size = field & ~COMPRESSED
         if size > MAX_FRAME_BYTES:
             raise ValueError(f"a frame of {size} bytes")
         end = LENGTH_BYTES + size
         if len(buffer) < end:
             break
-        found.append(bytes(buffer[LENGTH_BYTES:end]))
+        data = bytes(buffer[LENGTH_BYTES:end])
+        found.append(_unpack(data) if field & COMPRESSED else data)
         del buffer[:end]
     return found
+
+
+def _unpack(data: bytes) -> bytes:
+    """Return a compressed frame's bytes, within the bound on frames."""
+    unpacker = zlib.decompressobj()
+    try:
+        unpacked = unpacker.decompress(data, MAX_FRAME_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"unreadable frame: {error}") from error
+    if unpacker.unconsumed_tail:
+        raise ValueError("a frame that unpacks to more than any that balancers send")
+    return unpacked
--- a/waxwingspool/fleet/link.py
+++ b/waxwingspool/fleet/link.py
@@ -72,8 +72,12 @@
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame; dropped if the connection has ended."""
+        self.send_encoded(frames.encode(frame))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send frames that are encoded already, as when many peers get the same."""
         if self.open:
-            self._transport.write(frames.encode(frame))
+            self._transport.write(data)
 
     def close(self) -> None:
         """End the connection."""
--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -312,7 +312,7 @@
 
     def _dispatcher_of(self, service: str, region: str) -> str | None:
         """Return the balancer that hands out a service's slots in a region."""
-        ranking = election.ranking(f"slots {service}", self._members.in_region(region))
+        ranking = election.ranking(f"slots {service}", self._members.capable(region))
         for ip in ranking:
             own = ip == self._settings.ip
             if (own and not self._leaving) or (not own and self._links.available(ip)):
--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -14,6 +14,8 @@
 # shortest finds a silent connection in time.
 LEAST_ANSWER_S = 0.5
 MOST_ANSWER_S = 4.0
+# Time in seconds that a write may wait for others at the store: all balancers start together.
+WRITE_WAIT_S = 2.0
 # Idle time after which a connection is not used again, in seconds.
 KEEP_S = 20.0
 _GONE = 410
@@ -69,7 +71,7 @@
         :raises waxwingspool.exceptions.StoreUnavailable: it may or may not have been written.
         """
         target, body = store.put_request(table, key, value)
-        await self._call(b"POST", target, body, 0.0)
+        await self._call(b"POST", target, body, WRITE_WAIT_S)
 
     async def _page(self, target: str, wait_s: float) -> store.Page:
         return store.decode_page(await self._call(b"GET", target, b"", wait_s))
--- a/waxwingspool/platform/settings.py
+++ b/waxwingspool/platform/settings.py
@@ -15,6 +15,13 @@
 PATH_VARIABLE = "WAXWINGSPOOL_NODE_FILE"
 
 
+class _Limits(msgspec.Struct, rename="kebab"):
+    # Part of each core, and how many cores' speed one has.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 class _Self(msgspec.Struct, rename="kebab"):
     # The platform calls a VM a node and a data centre a zone.
     node: str
@@ -23,6 +30,7 @@
     region: str
     # Whether the whole system starts for the first time.
     bootstrap: bool = False
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _Listen(msgspec.Struct, rename="kebab"):
@@ -114,6 +122,8 @@
         region=file.self_.region,
         caller_address=address(file.network.listen.front),
         readiness_address=address(file.network.listen.ready),
+        link_mbps=file.self_.limits.link_mbps,
+        cores=file.self_.limits.cpu_share * file.self_.limits.cores,
         peer_port=first_port,
         metrics_port=last_port,
         store_address=address(file.platform.platform.address),
