--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 READY := $(VENV)/.ready
 SEED ?= 1
 STEPS ?= 200
+DURATION ?= 20
 
-.PHONY: setup test demo bench slopes fuzz lint format binary proto
+.PHONY: setup test demo bench slopes fuzz lint format binary proto soak
 
 setup: $(READY)
 
@@ -44,3 +45,6 @@
 
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. waxwingspool/membership/peer.proto
+
+soak: setup
+	$(BIN)/python -m standins.deployment.soak --seed $(SEED) --duration $(DURATION)
--- /dev/null
+++ b/standins/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""A whole deployment on loopback: the platform's store, upstreams, links that fail, real balancers."""
--- /dev/null
+++ b/standins/deployment/cluster.py
@@ -0,0 +1,204 @@
+"""Starts a deployment: store, upstreams and relays in this process, balancers as processes."""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+from standins.deployment import relay, store, upstream
+
+__all__ = ["Cluster", "Node"]
+
+FRONT_PORT, READY_PORT, PEER_PORT, METRICS_PORT = 18080, 18081, 18082, 18083
+STORE_PORT, STORE_RELAY_PORT, UPSTREAM_PORT, UPSTREAM_RELAY_PORT = 18090, 18091, 18100, 18400
+SERVICES = ("tags", "till")
+DATA_CENTRES = {"a-1": "a", "a-2": "a", "b-1": "b"}
+
+_SETTINGS = """
+[self]
+node = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+region = "{region}"
+[self.limits]
+link-mbps = 1000.0
+[network]
+internal-port-range = [{peer_port}, {metrics_port}]
+[network.listen]
+front = "{ip}:{front_port}"
+ready = "{ip}:{ready_port}"
+[network.zones]
+a-1 = "a"
+a-2 = "a"
+b-1 = "b"
+[platform.platform]
+address = "127.0.0.1:{store_port}"
+[terms.bounds]
+drain-ms = 2500
+grace-s = 6
+config-apply-ms = 2500
+retry-budget-ratio = 0.2
+retry-budget-slack = 50
+"""
+
+
+@dataclasses.dataclass
+class Node:
+    """One balancer process.
+
+    :ivar start_count: incarnations so far.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    settings: pathlib.Path
+    process: asyncio.subprocess.Process | None = None
+    start_count: int = 0
+    paused: bool = False
+
+
+class Cluster:
+    """The whole deployment on loopback.
+
+    :param nodes: number of balancers.
+    :param upstreams: upstreams of each service.
+    :param base: second byte of the loopback addresses, so that several deployments can run.
+    """
+
+    def __init__(self, nodes: int, upstreams: int, base: int, rng: random.Random) -> None:
+        self._rng = rng
+        self._base = base
+        self._folder = tempfile.TemporaryDirectory()
+        self._servers: list[asyncio.Server] = []
+        self.ledger = upstream.Ledger()
+        self.store = store.Store(rng)
+        self.store_ip = f"127.{base}.0.1"
+        self.store_relay = relay.Relay(self.store_ip, STORE_PORT)
+        self.upstreams: dict[str, upstream.Upstream] = {}
+        self.relays: dict[str, relay.Relay] = {}
+        self._ports: dict[str, int] = {}
+        for service in SERVICES:
+            for number in range(upstreams):
+                id_ = f"{service}-{number}"
+                self.upstreams[id_] = upstream.Upstream(id_, service, self.ledger, rng)
+        zones = list(DATA_CENTRES)
+        self.nodes = [self._node(number, zones[number % len(zones)]) for number in range(nodes)]
+        self.version = 0
+
+    def _node(self, number: int, zone: str) -> Node:
+        ip = f"127.{self._base}.1.{number + 1}"
+        path = pathlib.Path(self._folder.name) / f"node-{number}.toml"
+        text = _SETTINGS.format(
+            name=f"edge-{number}",
+            ip=ip,
+            zone=zone,
+            region=DATA_CENTRES[zone],
+            peer_port=PEER_PORT,
+            metrics_port=METRICS_PORT,
+            front_port=FRONT_PORT,
+            ready_port=READY_PORT,
+            store_port=STORE_RELAY_PORT,
+        )
+        path.write_text(text.replace("127.0.0.1", self.store_ip))
+        return Node(f"edge-{number}", ip, zone, path)
+
+    async def start(self) -> None:
+        """Start everything and wait until every balancer is ready."""
+        self._servers.append(await self.store.start(self.store_ip, STORE_PORT))
+        self._servers.append(await self.store_relay.start(self.store_ip, STORE_RELAY_PORT))
+        for number, (id_, target) in enumerate(self.upstreams.items()):
+            port = UPSTREAM_PORT + number
+            self._servers.append(await target.start(self.store_ip, port))
+            self.relays[id_] = relay.Relay(self.store_ip, port)
+            self._ports[id_] = UPSTREAM_RELAY_PORT + number
+            self._servers.append(await self.relays[id_].start(self.store_ip, self._ports[id_]))
+            await self.register(id_, "ready")
+        await self.configure()
+        for node in self.nodes:
+            await self.launch(node)
+
+    async def register(self, id_: str, state: str) -> None:
+        """Write an upstream's row."""
+        number = list(self.upstreams).index(id_)
+        entry = {
+            "service": self.upstreams[id_].service,
+            "address": f"{self.store_ip}:{self._ports[id_]}",
+            "zone": list(DATA_CENTRES)[number % len(DATA_CENTRES)],
+            "version": "v1",
+            "slots": upstream.SLOTS,
+            "state": state,
+            "warmup-left-ms": 0,
+            "seq": 1,
+            "born": 1,
+        }
+        await self.store.put("servers", id_, entry)
+
+    async def configure(self) -> int:
+        """Write the next configuration; its version shows in the path ``/version/N/``."""
+        self.version += 1
+        rules = [
+            _rule("lookup", "/lookup/", "safe", "tags"),
+            _rule("pay", "/pay/", "unsafe", "till"),
+            _rule("upload", "/upload/", "upload", "till"),
+            _rule("version", f"/version/{self.version}/", "safe", "tags"),
+        ]
+        document = {
+            "version": self.version,
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 1 << 26,
+                "header-timeout-ms": 3000,
+                "idle-timeout-ms": 15000,
+            },
+            "listeners": [{"host": "soak.example", "rules": rules}],
+            "clusters": [{"name": name, "health-path": "/health"} for name in SERVICES],
+        }
+        await self.store.put("op", "config", document)
+        return self.version
+
+    async def launch(self, node: Node) -> None:
+        """Start a balancer's process."""
+        log = open(pathlib.Path(self._folder.name) / f"{node.name}.log", "ab")  # noqa: SIM115
+        environment = {**os.environ, "WAXWINGSPOOL_NODE_FILE": str(node.settings)}
+        node.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "waxwingspool.edge", env=environment, stdout=log, stderr=log
+        )
+        log.close()
+        node.start_count += 1
+
+    def log(self, node: Node) -> str:
+        """Return what a balancer has logged."""
+        return (pathlib.Path(self._folder.name) / f"{node.name}.log").read_text()
+
+    def signal(self, node: Node, number: int) -> None:
+        """Signal a balancer that this deployment has started."""
+        if node.process is not None and node.process.returncode is None:
+            node.process.send_signal(number)
+
+    async def stop(self) -> None:
+        """End the balancers and close everything."""
+        for node in self.nodes:
+            self.signal(node, signal.SIGCONT)
+            self.signal(node, signal.SIGKILL)
+            if node.process is not None:
+                await node.process.wait()
+        for server in self._servers:
+            server.close()
+        self._folder.cleanup()
+
+
+def _rule(name: str, prefix: str, kind: str, service: str) -> dict:
+    action = {"service": service, "timeout-ms": 2000, "max-attempts": 2}
+    return {
+        "name": name,
+        "kind": kind,
+        "latency-goal-ms": 500,
+        "priority": 1,
+        "match": {"path-prefix": prefix},
+        "action": action,
+    }
