--- /dev/null
+++ b/waxwingspool/platform/tests/test_decoding.py
@@ -0,0 +1,147 @@
+"""The platform's formats: what is read, and what is not trusted."""
+
+import base64
+import json
+import unittest
+
+from waxwingspool import exceptions
+from waxwingspool.catalog import routes
+from waxwingspool.platform import configuration, registration, settings, store
+
+SETTINGS = """
+[self]
+node = "edge-1"
+ip = "10.1.0.34"
+zone = "accra-a"
+region = "accra"
+bootstrap = true
+unknown = 1
+[self.limits]
+cpu-share = 0.5
+cores = 2
+link-mbps = 10.0
+[network]
+internal-port-range = [7540,7555]
+[network.listen]
+front = "10.1.0.34:8548"
+ready = "10.1.0.34:8542"
+[network.zones]
+accra-a = "accra"
+[platform.platform]
+address = "10.200.1.7:8541"
+[terms.bounds]
+drain-ms = 3000
+retry-budget-slack = 62
+"""
+
+
+def document() -> dict:
+    rule = {
+        "name": "r",
+        "kind": "safe",
+        "latency-goal-ms": 200,
+        "priority": 2,
+        "match": {"path-prefix": "/lepu/"},
+        "action": {
+            "weighted-split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+            "timeout-ms": 1000,
+            "max-attempts": 2,
+        },
+    }
+    limits = {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 1000,
+        "header-timeout-ms": 3000,
+        "idle-timeout-ms": 15000,
+    }
+    return {
+        "version": 7,
+        "limits": limits,
+        "listeners": [{"host": "A.example", "rules": [rule]}],
+        "clusters": [{"name": "s", "health-path": "/health", "max-conns": 260}],
+    }
+
+
+class SettingsTest(unittest.TestCase):
+    def test_fields_have_the_products_names(self) -> None:
+        own = settings.decode(SETTINGS)
+        self.assertEqual(("edge-1", "accra-a"), (own.name, own.data_centre))
+        self.assertEqual(("10.1.0.34", 8548), own.caller_address)
+        self.assertEqual((7540, 7555), (own.peer_port, own.metrics_port))
+        self.assertEqual((3.0, 62), (own.bounds.drain_s, own.bounds.retry_allowance))
+        self.assertEqual((1.0, 10.0, True), (own.cores, own.link_mbps, own.first_start))
+
+    def test_missing_field_is_named(self) -> None:
+        with self.assertRaisesRegex(exceptions.ConfigurationError, "ip"):
+            settings.decode(SETTINGS.replace('ip = "10.1.0.34"', ""))
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_routes_are_found_by_the_longest_prefix(self) -> None:
+        table = configuration.decode(json.dumps(document()).encode())
+        route = table.find("a.example", "/lepu/2f")
+        self.assertEqual(routes.Kind.IDEMPOTENT, route.kind)
+        self.assertEqual([90, 10], [share.weight for share in route.shares])
+        self.assertIsNone(table.find("a.example", "/lepu"))
+        self.assertEqual((7, 0.2), (table.version, route.objective_s))
+
+    def test_unusable_values_are_refused(self) -> None:
+        broken = document()
+        del broken["listeners"][0]["rules"][0]["action"]["weighted-split"]
+        values = [b"", b"{", b"[]", b'{"version": "x"}', json.dumps(broken).encode()]
+        for value in values:
+            with self.subTest(value[:30]), self.assertRaises(exceptions.ConfigurationError):
+                configuration.decode(value)
+
+
+class RegistrationTest(unittest.TestCase):
+    entry = {
+        "service": "s",
+        "address": "10.0.0.9:8080",
+        "zone": "accra-a",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "warmup-left-ms": 500,
+        "seq": 4,
+        "born": 17,
+    }
+
+    def decode(self, **changes: object):
+        value = json.dumps({**self.entry, **changes}).encode()
+        return registration.decode("i-1", value, 3, 10.0)
+
+    def test_entry_is_read(self) -> None:
+        upstream = self.decode()
+        self.assertEqual((("10.0.0.9", 8080), 10.5), (upstream.address, upstream.warm_at))
+        self.assertTrue(self.decode(state="draining").draining)
+
+    def test_entries_of_other_writers_name_no_upstream(self) -> None:
+        for changes in (
+            {"state": "asleep"},
+            {"slots": "4"},
+            {"slots": 0},
+            {"address": "10.0.0.9"},
+            {"address": "10.0.0.9:x"},
+            {"service": 7},
+            {"born": "now"},
+        ):
+            with self.subTest(changes):
+                self.assertIsNone(self.decode(**changes))
+        self.assertIsNone(registration.decode("i-1", b"\xff\x00", 3, 10.0))
+
+
+class StoreTest(unittest.TestCase):
+    def test_rows_and_dropped_rows_are_read(self) -> None:
+        rows = [
+            {"key": "a", "ver": 4, "value": base64.b64encode(b"x").decode()},
+            {"key": "b", "ver": 5, "tombstone": True},
+        ]
+        page = store.decode_page(json.dumps({"rows": rows, "ver": 9, "now-ms": 1}).encode())
+        self.assertEqual((9, False), (page.version, page.more))
+        self.assertEqual([b"x", None], [row.value for row in page.rows])
+
+    def test_unreadable_response_is_an_outage(self) -> None:
+        for body in (b"", b"{}", b'{"ver": 1, "rows": [{"key": "a", "ver": 1, "value": "?"}]}'):
+            with self.subTest(body), self.assertRaises(exceptions.StoreUnavailable):
+                store.decode_page(body)
--- /dev/null
+++ b/waxwingspool/proxy/tests/test_caller.py
@@ -0,0 +1,139 @@
+"""Requests of callers, byte by byte, without sockets."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from waxwingspool.catalog import routes
+from waxwingspool.proxy import caller
+
+
+class Transport:
+    """Collects what is written."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.closed = False
+        self.pause_reading = mock.Mock()
+        self.resume_reading = mock.Mock()
+        self.set_write_buffer_limits = mock.Mock()
+
+    def write(self, data: bytes) -> None:
+        self.data += data
+
+    def close(self) -> None:
+        self.closed = True
+
+    abort = close
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.requests: list[caller.Request] = []
+        self.transport = Transport()
+
+    async def handle(self, connection: caller.Connection, request: caller.Request) -> None:
+        self.requests.append(request)
+        await request.body.settle(1 << 30)
+        connection.answer(request, 200, "done", [])
+
+    def connect(self, limits: routes.Limits | None = None, closing: bool = False):
+        made = caller.Connection(
+            self.handle, lambda: limits or routes.Limits(), lambda: closing, set()
+        )
+        made.connection_made(self.transport)
+        self.addCleanup(made.connection_lost, None)
+        return made
+
+    async def feed(self, data: bytes, limits: routes.Limits | None = None) -> bytes:
+        connection = self.connect(limits)
+        connection.data_received(data)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        return self.transport.data
+
+    async def test_request_is_read_whole(self) -> None:
+        data = b"POST /a/b?c=d HTTP/1.1\r\nHost: A.example:80\r\nContent-Length: 3\r\n\r\nabc"
+        answer = await self.feed(data)
+        (request,) = self.requests
+        self.assertEqual((request.host, request.path), ("a.example", "/a/b"))
+        self.assertEqual(request.target, b"/a/b?c=d")
+        self.assertEqual(request.body.take(), b"abc")
+        self.assertIn(b"200 OK", answer)
+        self.assertFalse(self.transport.closed)
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        one = b"GET /a/%d HTTP/1.1\r\nHost: a\r\n\r\n"
+        answer = await self.feed(one % 1 + one % 2)
+        self.assertEqual([r.path for r in self.requests], ["/a/1", "/a/2"])
+        self.assertEqual(answer.count(b"200 OK"), 2)
+
+    async def test_what_could_be_smuggled_is_rejected(self) -> None:
+        start = b"POST /a/ HTTP/1.1\r\n"
+        host = b"Host: a\r\n"
+        cases = {
+            "length and chunks": start
+            + host
+            + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "two lengths": start + host + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+            "signed length": start + host + b"Content-Length: +3\r\n\r\nabc",
+            "folded header": start + host + b"X: a\r\n b\r\n\r\n",
+            "bare line feed": start + b"Host: a\nX: b\r\n\r\n",
+            "bare carriage return": start + host + b"X: b\rc\r\n\r\n",
+            "space before the colon": start + b"Host : a\r\n\r\n",
+            "two hosts": start + host + host + b"\r\n",
+            "no host": start + b"\r\n",
+            "absolute target": b"GET http://a/b HTTP/1.1\r\n" + host + b"\r\n",
+            "fragment": b"GET /a#b HTTP/1.1\r\n" + host + b"\r\n",
+            "tunnel": b"CONNECT a:1 HTTP/1.1\r\n" + host + b"\r\n",
+            "other coding": start + host + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                self.transport = Transport()
+                answer = await self.feed(data)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+                self.assertTrue(self.transport.closed)
+        self.assertEqual([], self.requests)
+
+    async def test_bad_chunk_size_is_not_passed_on_as_complete(self) -> None:
+        data = b"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n"
+        await self.feed(data)
+        for request in self.requests:
+            self.assertFalse(request.body.complete)
+            self.assertTrue(request.body.failed)
+
+    async def test_limits(self) -> None:
+        limits = routes.Limits(header_bytes=200, body_bytes=10)
+        large_head = b"GET /a/ HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 300
+        self.assertIn(b" 431 ", await self.feed(large_head, limits))
+        self.transport = Transport()
+        large_body = b"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n"
+        self.assertIn(b" 413 ", await self.feed(large_body, limits))
+
+    async def test_connection_ends_after_an_answer_while_stopping(self) -> None:
+        connection = self.connect(closing=True)
+        connection.data_received(b"GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n")
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertIn(b"connection: close", self.transport.data)
+        self.assertTrue(self.transport.closed)
+
+    async def test_reading_goes_on_while_a_request_is_answered(self) -> None:
+        # Only a read shows that the caller has left.
+        release = asyncio.Event()
+
+        async def slow(connection: caller.Connection, request: caller.Request) -> None:
+            await release.wait()
+
+        connection = caller.Connection(slow, routes.Limits, lambda: False, set())
+        connection.connection_made(self.transport)
+        connection.data_received(b"GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n")
+        await asyncio.sleep(0)
+        self.transport.pause_reading.assert_not_called()
+        connection.connection_lost(None)
+        self.assertTrue(connection.lost.done())
+        release.set()
