--- a/waxwingspool/fleet/beliefs.py
+++ b/waxwingspool/fleet/beliefs.py
@@ -102,6 +102,7 @@
         self._returned_at = float("-inf")
         self._follow_since = 0.0
         self._stay_until = 0.0
+        self._subscribing: asyncio.Future | None = None
 
     @property
     def complete(self) -> bool:
@@ -246,7 +247,8 @@
         self._follow_since = time.monotonic()
         self._stay_until = self._follow_since + self._rng.uniform(LEAST_STAY_S, MOST_STAY_S)
         eventlog.event("reader.chosen", reader=reader, age_s=self.age_s)
-        asyncio.ensure_future(self._subscribe_to(reader))
+        # Kept, since a task that nothing refers to may be collected.
+        self._subscribing = asyncio.ensure_future(self._subscribe_to(reader))
 
     async def _subscribe_to(self, reader: str) -> None:
         try:
