--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 demo: setup
 	$(BIN)/python -m demo.main
+	$(BIN)/python -m demo.edge
 
 slopes: setup
 	$(BIN)/python -m bench.slopes $(SLOPES)
--- a/standins/deployment/__init__.py
+++ b/standins/deployment/__init__.py
@@ -1,1 +1,1 @@
-"""A whole deployment on loopback: the platform's store, upstreams, links that fail, real balancers."""
+"""A whole deployment on loopback: store, upstreams, links that fail, real balancers."""
--- a/standins/deployment/cluster.py
+++ b/standins/deployment/cluster.py
@@ -139,13 +139,16 @@
         await self.store.put("servers", id_, entry)
 
     async def configure(self) -> int:
-        """Write the next configuration; its version shows in the path ``/version/N/``."""
+        """Write the next configuration; ``/version/N/`` is a route from version N on."""
         self.version += 1
         rules = [
             _rule("lookup", "/lookup/", "safe", "tags"),
             _rule("pay", "/pay/", "unsafe", "till"),
             _rule("upload", "/upload/", "upload", "till"),
-            _rule("version", f"/version/{self.version}/", "safe", "tags"),
+        ]
+        rules += [
+            _rule(f"version-{version}", f"/version/{version}/", "safe", "tags")
+            for version in range(1, self.version + 1)
         ]
         document = {
             "version": self.version,
--- a/standins/deployment/relay.py
+++ b/standins/deployment/relay.py
@@ -1,4 +1,4 @@
-"""A loopback relay between balancers and what they talk to: it delays, resets, cuts and silences."""
+"""A loopback relay that delays, resets, cuts one way or silences connections."""
 
 import asyncio
 
--- a/waxwingspool/__init__.py
+++ b/waxwingspool/__init__.py
@@ -3,7 +3,7 @@
 The subpackages follow the themes of the product:
 
 - :mod:`waxwingspool.config`: settings, the configuration file and how it spreads,
-- :mod:`waxwingspool.interfaces`: the product's own forms of table, object store, VM list, upstreams,
+- :mod:`waxwingspool.interfaces`: the product's own table, object store, VM list, upstreams,
 - :mod:`waxwingspool.platform`: the users' platform, its names, formats and calls,
 - :mod:`waxwingspool.catalog`: what a balancer knows: settings, routes, upstreams,
 - :mod:`waxwingspool.dispatch`: decisions under load, apart from input and output,
