Break off what is left when the grace time is over, and don't wait for it when cancelled

Cause: cancelling a request whose answer was going out waited for the caller to read it, without a bound, so the end of a process could wait too.

--- a/standins/deployment/soak.py
+++ b/standins/deployment/soak.py
@@ -179,7 +179,8 @@
             async with asyncio.timeout(6.5):
                 await node.process.wait()
         except TimeoutError:
-            self.findings.late("ends within its grace time", node.name)
+            tail = " | ".join(self._cluster.log(node).splitlines()[-8:])
+            self.findings.late("ends within its grace time", f"{node.name}: {tail}")
             self._cluster.signal(node, signal.SIGKILL)
             await node.process.wait()
         if how == "stop" and node.process.returncode not in (0, -signal.SIGTERM):
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -215,6 +215,10 @@
             await asyncio.sleep(STOP_POLL_S)
         for server in servers:
             server.close()
+        for connection in list(self._connections):
+            # What is still under way would be cut off by the kill; its callers learn it now.
+            eventlog.event("connection.cut", reason="the grace time is over")
+            connection.abort()
         self._pool.close()
 
 
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -162,15 +162,14 @@
         """
         task = asyncio.ensure_future(work)
         left_s = job.ends_at - asyncio.get_running_loop().time()
+        both = (task, job.connection.lost)
         try:
-            await asyncio.wait(
-                (task, job.connection.lost), timeout=left_s, return_when=asyncio.FIRST_COMPLETED
-            )
+            await asyncio.wait(both, timeout=left_s, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done() and job.connection.answered and not job.connection.gone:
+                # The answer is going out: it is delivered, also late.
+                await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
         finally:
             if not task.done():
-                if job.connection.answered and not job.connection.gone:
-                    # The answer is going out: it is delivered, also late.
-                    await asyncio.wait((task, job.connection.lost), return_when="FIRST_COMPLETED")
                 task.cancel()
                 await asyncio.wait((task,))
         if task.cancelled():
