Let the demo's callers see a broken connection where one broke

The callers' HTTP session sends an idempotent request again by itself when a kept connection breaks; the killed balancer's port then refuses, and the stand-in took the refusal for the fate of the first send. Shown by a run that printed the case: GET, ClientConnectorError, one run in the ledger. The check is unchanged; the stand-in no longer retries unseen. Ruled out: the product's answer (none was received).

--- a/standins/callers.py
+++ b/standins/callers.py
@@ -81,6 +81,10 @@
             connector=aiohttp.TCPConnector(limit=0, local_addr=(ip, 0)),
             timeout=aiohttp.ClientTimeout(total=90),
         )
+        # The session sends an idempotent request again by itself when a kept connection breaks.
+        # A refused second connection would then hide that the first send may have run; aiohttp's
+        # own test client turns this off in the same way.
+        self._session._retry_connection = False
         self.told: list[Told] = []
 
     async def close(self) -> None:
