Ask for slots in one place, and remove what nothing calls

Read over the whole change: two copies of the call for a slot, of the loop over a service's dispatchers and of giving back an unused slot are one each now; a field-by-field copy of an ask uses the library's replace; next_expiry, own_dispatchers, LOW_WATER and two fields had no reader. The soak's times of disturbance are named for what they hold. No behaviour changes.

--- a/standins/deployment/soak.py
+++ b/standins/deployment/soak.py
@@ -57,7 +57,7 @@
         self._ids = (f"s{seed}-{number}" for number in itertools.count())
         self.findings = Findings(timed)
         self._refused: list[str] = []
-        self._undisturbed_since: dict[str, float] = {}
+        self._disturbed_at: dict[str, float] = {}
 
     async def run(self) -> Findings:
         """Run, and check the ledger at the end."""
@@ -146,7 +146,7 @@
 
     def _calm(self, node: cluster.Node) -> bool:
         """Whether neither the balancer nor the store was disturbed lately."""
-        disturbed = (self._undisturbed_since.get(key, 0.0) for key in (node.name, "store"))
+        disturbed = (self._disturbed_at.get(key, 0.0) for key in (node.name, "store"))
         return all(self._now() - at > STABLE_S + APPLY_S for at in disturbed)
 
     # Faults
@@ -160,7 +160,7 @@
         """Kill, pause or stop a balancer, and bring it back."""
         node = self._rng.choice(self._cluster.nodes)
         how = self._rng.choice(("kill", "pause", "stop", "reload"))
-        self._undisturbed_since[node.name] = float("inf")
+        self._disturbed_at[node.name] = float("inf")
         if how == "reload":
             self._cluster.signal(node, signal.SIGHUP)
         elif how == "pause":
@@ -171,7 +171,7 @@
             node.paused = False
         else:
             await self._restart(node, how)
-        self._undisturbed_since[node.name] = self._now()
+        self._disturbed_at[node.name] = self._now()
 
     async def _restart(self, node: cluster.Node, how: str) -> None:
         self._cluster.signal(node, signal.SIGKILL if how == "kill" else signal.SIGTERM)
@@ -190,7 +190,7 @@
     async def _outages(self) -> None:
         """Disturb the store."""
         store = self._cluster.store
-        self._undisturbed_since["store"] = float("inf")
+        self._disturbed_at["store"] = float("inf")
         fault = self._rng.choice(("down", "reset", "silent", "slow", "lossy", "compact"))
         if fault == "compact":
             store.compact()
@@ -198,7 +198,7 @@
             store.fault = fault
             await asyncio.sleep(self._rng.uniform(0.5, 4.0))
             store.fault = None
-        self._undisturbed_since["store"] = self._now()
+        self._disturbed_at["store"] = self._now()
         await asyncio.sleep(self._rng.uniform(0.0, 8.0))
 
     async def _links(self) -> None:
@@ -206,7 +206,7 @@
         relays = self._cluster.relays
         name = self._rng.choice(["store", *relays])
         chosen = self._cluster.store_relay if name == "store" else relays[name]
-        self._undisturbed_since[name] = float("inf")
+        self._disturbed_at[name] = float("inf")
         how = self._rng.choice(("delay", "reset", "there", "back", "silence"))
         if how == "reset":
             chosen.reset()
@@ -220,7 +220,7 @@
             chosen.silent = set()
             # What was swallowed would leave a gap in the middle of a connection.
             chosen.reset()
-        self._undisturbed_since[name] = self._now()
+        self._disturbed_at[name] = self._now()
 
     async def _upstreams(self) -> None:
         """Make an upstream fail for a while."""
--- a/waxwingspool/dispatch/slots.py
+++ b/waxwingspool/dispatch/slots.py
@@ -285,10 +285,6 @@
         self._waiting = kept
         return decisions
 
-    def next_expiry(self) -> float | None:
-        """Return the time at which the next waiting request must be turned away."""
-        return min((waiting.until for waiting in self._waiting), default=None)
-
     # Choosing
 
     def _ask_for_spare(self, ask: Ask, now: float) -> Decision:
--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -11,6 +11,8 @@
 import random
 import time
 
+import msgspec
+
 from waxwingspool import exceptions
 from waxwingspool.catalog import node, upstreams
 from waxwingspool.dispatch import election, health, slots
@@ -96,10 +98,6 @@
             dispatcher.update(self._region_upstreams(service))
         self._settle()
 
-    def own_dispatchers(self) -> dict[str, slots.Dispatcher]:
-        """Return the dispatchers that this balancer is, by service."""
-        return self._own
-
     def probed(self, active_s: float) -> list[upstreams.Upstream]:
         """Return the upstreams whose load is worth knowing.
 
@@ -117,18 +115,18 @@
         :param held: requests that the upstream works on or has waiting.
         """
         now = time.monotonic()
-        for dispatchers in (self._own, self._local):
-            dispatcher = dispatchers.get(target.service)
-            if dispatcher is not None:
-                dispatcher.observe(target.id, held, slowdown, now)
+        for dispatcher in self._dispatchers(target.service):
+            dispatcher.observe(target.id, held, slowdown, now)
         self._settle()
 
     def probe_failed(self, target: upstreams.Upstream) -> None:
         """Note that an upstream left a probe unanswered."""
-        for dispatchers in (self._own, self._local):
-            dispatcher = dispatchers.get(target.service)
-            if dispatcher is not None:
-                dispatcher.probe_failed(target.id)
+        for dispatcher in self._dispatchers(target.service):
+            dispatcher.probe_failed(target.id)
+
+    def _dispatchers(self, service: str) -> list[slots.Dispatcher]:
+        """Return the dispatchers of a service in this process."""
+        return [known[service] for known in (self._own, self._local) if service in known]
 
     # Asking
 
@@ -227,10 +225,7 @@
             return Refused(reply.retry_after_s, reply.reason)
         upstream = self._upstreams.get(reply.upstream)
         if upstream is None:
-            channel = self._links.get(peer)
-            if channel is not None:
-                unused = health.Report(health.Outcome.UNUSED)
-                channel.send(_release(ask.service, ask.key, unused))
+            self._withdraw(ask, peer)
             return self._ask_locally(ask)
         slot = Slot(ask.key, ask.service, upstream, reply.expected_s, peer, ask)
         self._held[ask.key] = slot
@@ -295,7 +290,7 @@
         if ask.size > BORROWING_BYTES or ask.left_s < BORROWING_S * 3:
             return None
         for region in self._members.regions() - {self._settings.region}:
-            borrowed = _borrowed(ask, next(self._keys))
+            borrowed = msgspec.structs.replace(ask, key=next(self._keys), borrowed=True)
             result = await self._ask_region(borrowed, region)
             if isinstance(result, Slot):
                 return result
@@ -450,22 +445,6 @@
         return own or known
 
 
-def _borrowed(ask: frames.Ask, key: int) -> frames.Ask:
-    """Return the same ask for another region."""
-    return frames.Ask(
-        ask.service,
-        key,
-        ask.data_centre,
-        ask.left_s,
-        ask.objective_s,
-        ask.priority,
-        ask.size,
-        ask.excluded,
-        True,
-        ask.hedge,
-    )
-
-
 def _to_ask(frame: frames.Ask, holder: str) -> slots.Ask:
     return slots.Ask(
         key=frame.key,
--- a/waxwingspool/proxy/body.py
+++ b/waxwingspool/proxy/body.py
@@ -5,9 +5,8 @@
 
 __all__ = ["Body"]
 
-# Unread bytes above which the sender is held back, and below which it goes on.
+# Unread bytes above which the sender is held back until they are read.
 HIGH_WATER = 256 * 1024
-LOW_WATER = 64 * 1024
 
 
 class Body:
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -59,7 +59,6 @@
     sent: int = 0
     tried: tuple[str, ...] = ()
     may_have_run: bool = False
-    last: exchange.Result | None = None
 
 
 class Forwarder:
@@ -204,14 +203,7 @@
         if left_s < LEAST_LEFT_S:
             self._refuse(job, 0.0, "no time is left")
             return None
-        place = await self._slots.acquire(
-            job.service,
-            left_s,
-            job.route.objective_s,
-            job.route.priority,
-            len(job.body),
-            job.tried,
-        )
+        place = await self._ask_slot(job, left_s)
         if isinstance(place, slots.Refused):
             self._refuse(job, place.retry_after_s, place.reason)
             return None
@@ -228,7 +220,6 @@
         try:
             result = await exchange.send(attempt, self._pool, self._names)
             job.may_have_run = job.may_have_run or result.ran
-            job.last = result
             return result
         except BaseException:
             job.may_have_run = True
@@ -292,16 +283,22 @@
         left_s = job.ends_at - asyncio.get_running_loop().time()
         if left_s < LEAST_LEFT_S or not self._allows_retry(job):
             return None
-        place = await self._slots.acquire(
+        place = await self._ask_slot(job, left_s, hedge=True)
+        return place if isinstance(place, slots.Slot) else None
+
+    async def _ask_slot(
+        self, job: _Job, left_s: float, hedge: bool = False
+    ) -> slots.Slot | slots.Refused:
+        """Ask for a slot at an upstream that has not had the request."""
+        return await self._slots.acquire(
             job.service,
             left_s,
             job.route.objective_s,
             job.route.priority,
             len(job.body),
             job.tried,
-            hedge=True,
+            hedge,
         )
-        return place if isinstance(place, slots.Slot) else None
 
     # After an attempt
 
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -81,7 +81,6 @@
         self._reusable = True
         self.idle_since = 0.0
         self.keep_s: float | None = None
-        self.used = False
         self.lost = False
 
     @property
@@ -208,7 +207,6 @@
         if not whole or not self._reusable or self._spoiled or self.lost:
             self.abort()
             return False
-        self.used = True
         self.idle_since = self._loop.time()
         return True
 
