Log and count what tells a misjudged request from a wrong one

A 400, 413 or 431 was logged with status and reason alone and not counted; one raised inside a body was not logged at all, since its connection closes before the rejection's turn comes, and `request.ended` called that "caller disconnected". A 404 named the version of the configuration but not its age.

Now `request.rejected` is logged when the request is rejected, with its id, host, path, sizes, the limits in force, version and age of what the balancer knows, and how many requests the connection had carried; answers are counted by status beside the balancer's other own answers. A 404 carries the age. Text of callers is cut at 120 bytes a field.

--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -69,6 +69,7 @@
             headers.HEADER_NAMES,
             self._create_retry_budget,
             self._splitter,
+            lambda: self._tables.age_s,
         )
         self._prober = probes.Prober(
             node_settings.ip, self._slot_manager, self._get_health_path, headers.HEADER_NAMES
@@ -115,13 +116,23 @@
 
     def _accept(self) -> caller.Connection:
         return caller.Connection(
-            self._forwarder.handle, self._get_limits, self._stopping.is_set, self._connections
+            self._forwarder.handle,
+            self._get_limits,
+            self._stopping.is_set,
+            self._connections,
+            headers.HEADER_NAMES.request_id,
+            self._describe_configuration,
         )
 
     def _get_limits(self) -> routes.Limits:
         table = self._view.route_table
         return routes.Limits() if table is None else table.limits
 
+    def _describe_configuration(self) -> dict[str, object]:
+        """Return version and age of the configuration in force, for the log."""
+        table = self._view.route_table
+        return {"version": None if table is None else table.version, "age_s": self._tables.age_s}
+
     def _get_health_path(self, service: str) -> str | None:
         table = self._view.route_table
         entry = None if table is None else table.services.get(service)
--- a/waxwingspool/proxy/caller.py
+++ b/waxwingspool/proxy/caller.py
@@ -8,7 +8,7 @@
 import httptools
 
 from waxwingspool.catalog import routes
-from waxwingspool.observe import eventlog
+from waxwingspool.observe import counters, eventlog
 from waxwingspool.proxy import body, message
 
 __all__ = ["Connection", "Handler", "Request"]
@@ -20,6 +20,8 @@
 LINGER_TIMEOUT_S = 2.0
 # Bytes of pipelined requests above which reading is paused until the current response is sent.
 PIPELINE_HIGH_WATER_BYTES = 64 * 1024
+# Longest text of a caller in a line of the log, in bytes.
+MAX_LOGGED_BYTES = 120
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,6 +64,8 @@
     :param is_stopping: whether the process is stopping; the connection is then closed after the
         current response.
     :param registry: set that contains the connection while it is open.
+    :param id_header: request header that carries the request id, for the log.
+    :param describe_configuration: returns fields for the log about the configuration in force.
     :ivar connection_closed: future that is done once the connection is closed.
     """
 
@@ -71,11 +75,15 @@
         get_limits: Callable[[], routes.Limits],
         is_stopping: Callable[[], bool],
         registry: set["Connection"],
+        id_header: bytes = b"",
+        describe_configuration: Callable[[], dict[str, object]] = dict,
     ) -> None:
         self._handler = handler
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._registry = registry
+        self._id_header = id_header
+        self._describe_configuration = describe_configuration
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._pending: collections.deque[Request | _Rejection] = collections.deque()
@@ -90,6 +98,7 @@
         self._rejected = False
         self._pipelined = b""
         self._response_started = False
+        self._completed_requests = 0
         self.busy = False
         self.connection_closed = self._loop.create_future()
 
@@ -158,10 +167,9 @@
 
     def on_headers_complete(self) -> None:
         self._in_head = False
-        head_bytes = self._head_bytes
-        self._head_bytes = 0
         self._set_timer(None)
-        request = self._validate_head(head_bytes)
+        request = self._validate_head(self._head_bytes)
+        self._head_bytes = 0
         if request is None:
             return
         self._incoming = request
@@ -182,6 +190,8 @@
         if self._incoming is not None:
             self._incoming.body.finish()
             self._incoming = None
+        self._headers = []
+        self._target = b""
 
     # Responses
 
@@ -271,13 +281,14 @@
     async def _process(self, request: Request | _Rejection) -> bool:
         """Process one request and return whether the connection stays open."""
         if isinstance(request, _Rejection):
-            eventlog.event("request.rejected", status=request.status, reason=request.reason)
+            counters.record_response("own", request.status)
             self.respond(None, request.status, request.reason, [])
             return False
         self.busy = True
         self._response_started = False
         await self._handler(self, request)
         await self._discard_body(request)
+        self._completed_requests += 1
         self.busy = False
         if self.disconnected or not self.can_keep_alive(request):
             return False
@@ -335,7 +346,10 @@
         if self._parser.get_http_version() not in ("1.1", "1.0"):
             return self._reject(400, "the HTTP version is not supported")
         limits = self._get_limits()
-        if head_bytes > limits.max_header_bytes and not self._headers_fit(limits.max_header_bytes):
+        if (
+            head_bytes > limits.max_header_bytes
+            and self._parsed_head_bytes >= limits.max_header_bytes
+        ):
             return self._reject(431, "the head is larger than the limit")
         length = message.get_header(self._headers, b"content-length")
         if length is None and encoding is None:
@@ -355,12 +369,14 @@
             keep_alive=self._parser.should_keep_alive(),
         )
 
-    def _headers_fit(self, limit: int) -> bool:
-        """Whether the head alone is within the limit, without body bytes that were read with it."""
-        return sum(len(k) + len(v) + 4 for k, v in self._headers) + len(self._target) < limit
+    @property
+    def _parsed_head_bytes(self) -> int:
+        """Size of the head without the rest of the request line and without body bytes."""
+        return sum(len(k) + len(v) + 4 for k, v in self._headers) + len(self._target)
 
     def _reject(self, status: int, reason: str) -> None:
         """Queue an error response to an invalid request and stop reading."""
+        self._log_rejection(status, reason)
         self._rejected = True
         self._in_head = False
         if not self._transport.is_closing():
@@ -371,6 +387,27 @@
         self._pending.append(_Rejection(status, reason))
         self._wake(self._request_waiter)
 
+    def _log_rejection(self, status: int, reason: str) -> None:
+        """Log what distinguishes an invalid request from a valid one that was misjudged."""
+        limits = self._get_limits()
+        incoming = self._incoming
+        eventlog.event(
+            "request.rejected",
+            id=_shorten(message.get_header(self._headers, self._id_header)),
+            status=status,
+            reason=reason,
+            host=_shorten(message.get_header(self._headers, b"host")),
+            path=_shorten(self._target.partition(b"?")[0]),
+            head_bytes=self._parsed_head_bytes,
+            head_limit=limits.max_header_bytes,
+            read_with_head=self._head_bytes,
+            length=_shorten(message.get_header(self._headers, b"content-length")),
+            body_bytes=None if incoming is None else incoming.body.received_bytes,
+            body_limit=limits.max_body_bytes,
+            earlier_requests=self._completed_requests,
+            **self._describe_configuration(),
+        )
+
     def _on_head_timeout(self) -> None:
         if self._in_head:
             self._reject(408, "the head did not arrive in time")
@@ -390,3 +427,7 @@
     def _wake(future: asyncio.Future | None) -> None:
         if future is not None and not future.done():
             future.set_result(None)
+
+
+def _shorten(value: bytes | None) -> bytes | None:
+    return None if value is None else value[:MAX_LOGGED_BYTES]
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -78,6 +78,7 @@
     :param names: header names of the platform.
     :param create_budget: returns a new retry budget for a service.
     :param splitter: picks the service for each request of a route that is split between services.
+    :param get_age_s: returns the age of the state in seconds, for the log.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         names: header_names.HeaderNames,
         create_budget: Callable[[], budget.RetryBudget],
         splitter: split.Splitter,
+        get_age_s: Callable[[], float],
     ) -> None:
         self._state = state
         self._slot_manager = slot_manager
@@ -96,6 +98,7 @@
         self._create_budget = create_budget
         self._budgets: dict[str, budget.RetryBudget] = {}
         self._splitter = splitter
+        self._get_age_s = get_age_s
         self.in_flight = 0
 
     async def handle(self, connection: caller.Connection, request: caller.Request) -> None:
@@ -112,7 +115,8 @@
             return
         await self._run_until_deadline(context, self._read_body(context))
         if connection.disconnected or request.body.failed:
-            self._log_end(context, "left", "caller disconnected before its request was read")
+            left = "caller disconnected before its request was read"
+            self._log_end(context, "left", left if connection.disconnected else "its body failed")
             return
         if (
             not await self._run_until_deadline(context, self._run_attempts(context))
@@ -154,9 +158,10 @@
             outcome="own-answer",
             status=status,
             reason=reason,
-            host=request.host,
-            path=request.path,
+            host=request.host[: caller.MAX_LOGGED_BYTES],
+            path=request.path[: caller.MAX_LOGGED_BYTES],
             version=None if self._state.route_table is None else self._state.route_table.version,
+            age_s=self._get_age_s(),
         )
         headers = [(b"retry-after", b"0.5")] if status == 503 else []
         counters.record_response("own", status)
--- a/waxwingspool/proxy/tests/test_caller.py
+++ b/waxwingspool/proxy/tests/test_caller.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from waxwingspool.catalog import routes
+from waxwingspool.observe import counters, eventlog
 from waxwingspool.proxy import caller
 
 
@@ -114,6 +115,32 @@
         large_body = b"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n"
         self.assertIn(b" 413 ", await self.feed(large_body, limits))
 
+    async def test_rejection_is_logged_with_its_inputs_and_counted(self) -> None:
+        limits = routes.Limits(max_body_bytes=10)
+        connection = caller.Connection(
+            self.handle, lambda: limits, lambda: False, set(), b"x-id", lambda: {"version": 7}
+        )
+        connection.connection_made(self.transport)
+        self.addCleanup(connection.connection_lost, None)
+        head = b"POST /a/ HTTP/1.1\r\nHost: a\r\nX-Id: r1\r\n"
+        with mock.patch.object(eventlog, "event") as event, mock.patch.object(counters, "count"):
+            connection.data_received(head + b"Content-Length: 11\r\n\r\n")
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            counters.count.assert_called_once_with(mock.ANY, service="own", status="413")
+        (call,) = event.call_args_list
+        self.assertEqual(("request.rejected",), call.args)
+        fields = ("id", "status", "host", "path", "length", "body_limit", "version")
+        values = tuple(call.kwargs[field] for field in fields)
+        self.assertEqual((b"r1", 413, b"a", b"/a/", b"11", 10, 7), values)
+
+    async def test_invalid_body_is_logged_with_the_id_of_its_request(self) -> None:
+        data = b"POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd"
+        with mock.patch.object(eventlog, "event") as event:
+            await self.feed(data)
+        (call,) = (c for c in event.call_args_list if c.args == ("request.rejected",))
+        self.assertEqual((b"/a/", 3), (call.kwargs["path"], call.kwargs["body_bytes"]))
+
     async def test_connection_is_closed_after_response_while_stopping(self) -> None:
         connection = self.connect(is_stopping=True)
         connection.data_received(b"GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/waxwingspool/proxy/tests/test_forward.py
+++ b/waxwingspool/proxy/tests/test_forward.py
@@ -7,6 +7,7 @@
 from waxwingspool.catalog import routes, upstreams
 from waxwingspool.dispatch import budget, health, split
 from waxwingspool.fleet import frames, slots
+from waxwingspool.observe import eventlog
 from waxwingspool.platform import headers
 from waxwingspool.proxy import body, caller, exchange, forward
 
@@ -48,6 +49,7 @@
             headers.HEADER_NAMES,
             lambda: budget.RetryBudget(0.2, 50.0, 10.0, float("-inf")),
             mock.Mock(spec=split.Splitter, pick=lambda route: "tags"),
+            lambda: 0.25,
         )
 
     async def send(self, attempt: exchange.Attempt, *_: object) -> exchange.Result:
@@ -115,3 +117,14 @@
         self.kind = routes.Kind.NON_IDEMPOTENT
         await self.forward_request(straggler=True)
         self.assertEqual(["u1"], self.sent)
+
+    async def test_unmatched_route_is_logged_with_version_and_age_of_the_configuration(
+        self,
+    ) -> None:
+        request = make_request()
+        request.host, request.path = "other", "/t/" + "x" * 1000
+        with mock.patch.object(eventlog, "event") as event:
+            await self.make_forwarder().handle(mock.Mock(), request)
+        fields = event.call_args.kwargs
+        self.assertEqual((404, 1, 0.25), (fields["status"], fields["version"], fields["age_s"]))
+        self.assertEqual(caller.MAX_LOGGED_BYTES, len(fields["path"]))
