Serve a request whose Upgrade header can be ignored, with its body

Callers see: `Connection: Upgrade` with `Upgrade: h2c` on an ordinary request gives the request's own response and then a 400 on the same connection, which belongs to no request and closes it. With a body, the request is run without it: it is announced with its length and the upstream waits for bytes that never come.

Cause: the parser ends every head that asks for an upgrade as if it had no body, calls the end of the message and only then raises HttpParserUpgrade; by then the request was admitted as complete, and the 400 was queued behind it.

A server may ignore Upgrade (RFC 9110, 7.8). Such a head is now not admitted; it is parsed again without its Upgrade by a new parser, followed by the bytes after it, so that limits, framing and body go the one usual way. CONNECT, which can't be ignored, is refused by name before anything is admitted, so parsing again always ends.

--- a/waxwingspool/proxy/caller.py
+++ b/waxwingspool/proxy/caller.py
@@ -120,9 +120,7 @@
         if self._in_head or self._incoming is None:
             self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrades and tunnels are not supported")
+            self._parse(data)
         except httptools.HttpParserError as error:
             self._reject(400, f"malformed request: {error}")
         if self._in_head and self._head_bytes > self._get_limits().max_header_bytes:
@@ -151,6 +149,27 @@
 
     # Parser callbacks
 
+    def _parse(self, data: bytes) -> None:
+        """Parse data, ignoring upgrades; the parser ends each head with one as if it had no body.
+
+        :raises httptools.HttpParserError: the data is malformed.
+        """
+        while data and not self._rejected:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                head = self._format_head_without_upgrade()
+                data = head + data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+
+    def _format_head_without_upgrade(self) -> bytes:
+        """Return the last head without its upgrade, for another parser."""
+        headers = [(key, value) for key, value in self._headers if key != b"upgrade"]
+        version = self._parser.get_http_version().encode()
+        line = b"%b %b HTTP/%b" % (self._parser.get_method(), self._target, version)
+        return message.format_head(line, headers)
+
     def on_message_begin(self) -> None:
         self._headers = []
         self._target = b""
@@ -166,6 +185,8 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        if self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT":
+            return
         self._in_head = False
         self._set_timer(None)
         request = self._validate_head(self._head_bytes)
@@ -190,8 +211,8 @@
         if self._incoming is not None:
             self._incoming.body.finish()
             self._incoming = None
-        self._headers = []
-        self._target = b""
+            self._headers = []
+            self._target = b""
 
     # Responses
 
@@ -338,6 +359,8 @@
         hosts = [value for key, value in self._headers if key == b"host"]
         if len(hosts) != 1 or not hosts[0]:
             return self._reject(400, "exactly one Host header is required")
+        if self._parser.get_method() == b"CONNECT":
+            return self._reject(400, "tunnels are not supported")
         if not self._target.startswith(b"/") or b"#" in self._target or b"\\" in self._target:
             return self._reject(400, "the request target is not an absolute path")
         encoding = message.get_header(self._headers, b"transfer-encoding")
--- a/waxwingspool/proxy/tests/test_caller.py
+++ b/waxwingspool/proxy/tests/test_caller.py
@@ -72,6 +72,27 @@
         self.assertEqual([r.path for r in self.requests], ["/a/1", "/a/2"])
         self.assertEqual(response.count(b"200 OK"), 2)
 
+    async def test_request_with_upgrade_header_gets_one_response_and_keeps_its_body(self) -> None:
+        upgrade = b"Host: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+        first = b"GET /a/1 HTTP/1.1\r\n" + upgrade + b"\r\n"
+        second = b"POST /a/2 HTTP/1.1\r\n" + upgrade + b"Content-Length: 3\r\n\r\nabc"
+        last = b"POST /a/3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        last += b"Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n3\r\ndef\r\n0\r\n\r\n"
+        data = first + second + last
+        for step in (1, 7, len(data)):
+            with self.subTest(step=step):
+                self.requests, self.transport = [], FakeTransport()
+                connection = self.connect()
+                for start in range(0, len(data), step):
+                    connection.data_received(data[start : start + step])
+                    await asyncio.sleep(0)
+                for _ in range(20):
+                    await asyncio.sleep(0)
+                bodies = [request.body.read_available() for request in self.requests]
+                self.assertEqual([b"", b"abc", b"def"], bodies)
+                self.assertEqual(3, self.transport.data.count(b"HTTP/1.1 200 OK"))
+                self.assertNotIn(b" 400 ", self.transport.data)
+
     async def test_request_smuggling_vectors_are_rejected(self) -> None:
         start = b"POST /a/ HTTP/1.1\r\n"
         host = b"Host: a\r\n"
@@ -90,6 +111,7 @@
             "absolute target": b"GET http://a/b HTTP/1.1\r\n" + host + b"\r\n",
             "fragment": b"GET /a#b HTTP/1.1\r\n" + host + b"\r\n",
             "tunnel": b"CONNECT a:1 HTTP/1.1\r\n" + host + b"\r\n",
+            "tunnel to a path": b"CONNECT /a HTTP/1.1\r\n" + host + b"\r\n",
             "other coding": start + host + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
         }
         for name, data in cases.items():
