Answer 503, not 431 or 413, while no configuration says what is too large

Callers see: a balancer that has just started and knows no configuration refuses a request with a head over 16 KB with 431, and one with a body over 64 MB with 413, though the configuration may allow them. Neither is retried; the request is lost. Such a balancer isn't ready, but gets connections when fewer than half of its zone are.

Cause: before the first configuration the limits were our defaults, and the caller's connection checks sizes before the forwarder can answer that no configuration is known.

Evidence, the new test before the change: AssertionError: b'HTTP/1.1 503 Service Unavailable' != b'HTTP/1.1 431 Request Header Fiel' AssertionError: b'HTTP/1.1 503 Service Unavailable' != b'HTTP/1.1 413 Content Too Large\r\n' No run shows the fault at work in a deployment: it needs a configuration with limits above the defaults.

Until the first configuration only a bound on memory holds for the head (1 MB), and none for the body, of which no more than the back-pressure mark is kept; the request then gets the 503 that every other one gets.

--- a/waxwingspool/catalog/routes.py
+++ b/waxwingspool/catalog/routes.py
@@ -10,6 +10,7 @@
     "Route",
     "RouteTable",
     "Service",
+    "UNCONFIGURED_LIMITS",
     "WeightedService",
     "build_route_table",
 ]
@@ -84,6 +85,11 @@
     idle_timeout_s: float = 15.0
 
 
+# Limits before the first configuration, which may allow more than the defaults: until then a
+# request is answered 503, and a size is no reason to call it invalid. Bounds only memory.
+UNCONFIGURED_LIMITS = Limits(max_header_bytes=1024 * 1024, max_body_bytes=1 << 62)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteTable:
     """The routing table of one accepted configuration version.
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -126,7 +126,7 @@
 
     def _get_limits(self) -> routes.Limits:
         table = self._view.route_table
-        return routes.Limits() if table is None else table.limits
+        return routes.UNCONFIGURED_LIMITS if table is None else table.limits
 
     def _describe_configuration(self) -> dict[str, object]:
         """Return version and age of the configuration in force, for the log."""
