Leave white space after a header value out of it

Callers see: `Host: a.example ` with white space at the end, which HTTP allows, gets 404 "no route matches" from every balancer. `X-Request-Id: r1 ` is passed on with the space; an upstream that echoes the id without it is taken to answer another request, and the caller waits until the deadline.

Cause: the parser drops white space before a value, not after it.

Evidence, the new tests before the change: AssertionError: 'a' != 'a \t' (host of the request) AssertionError: False is not true (response with the id "one \t" is read)

Nothing shows that the callers of a deployment send such heads.

--- a/waxwingspool/proxy/tests/test_caller.py
+++ b/waxwingspool/proxy/tests/test_caller.py
@@ -93,6 +93,12 @@
                 self.assertEqual(3, self.transport.data.count(b"HTTP/1.1 200 OK"))
                 self.assertNotIn(b" 400 ", self.transport.data)
 
+    async def test_white_space_after_a_header_value_is_not_part_of_it(self) -> None:
+        await self.feed(b"GET /a/ HTTP/1.1\r\nHost: a \t\r\nX-Request-Id: r1 \r\n\r\n")
+        (request,) = self.requests
+        self.assertEqual("a", request.host)
+        self.assertEqual([(b"host", b"a"), (b"x-request-id", b"r1")], request.headers)
+
     async def test_request_smuggling_vectors_are_rejected(self) -> None:
         start = b"POST /a/ HTTP/1.1\r\n"
         host = b"Host: a\r\n"
--- a/waxwingspool/proxy/tests/test_upstream.py
+++ b/waxwingspool/proxy/tests/test_upstream.py
@@ -1,5 +1,6 @@
 """Tests of response parsing on connections to upstreams, with fake transports."""
 
+import asyncio
 import unittest
 from unittest import mock
 
@@ -49,6 +50,15 @@
         self.assertTrue(response.body.complete)
         self.assertFalse(connection.finish())
 
+    async def test_white_space_after_the_request_id_is_not_part_of_it(self) -> None:
+        connection = self.start_exchange()
+        connection.data_received(response_bytes(b"one \t", b"abc"))
+        reading = asyncio.ensure_future(connection.read_response())
+        self.addCleanup(reading.cancel)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        self.assertTrue(reading.done())
+
     async def test_bytes_after_response_make_connection_unusable(self) -> None:
         connection = self.start_exchange()
         connection.data_received(response_bytes(b"one", b"abc") + response_bytes(b"one", b"again"))
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -150,7 +150,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_head:
-            self._headers.append((name.lower(), value))
+            # The parser leaves white space after the value in it (RFC 9110, section 5.5).
+            self._headers.append((name.lower(), value.rstrip(b" \t")))
 
     def on_headers_complete(self) -> None:
         self._in_head = False
