Answer 503, not 400, when a parser callback of ours fails

Callers see: an exception of our own while a head is parsed becomes 400 "malformed request: User callback error", which no caller retries and which the log calls the caller's fault.

Cause: the parser turns every exception in a callback into HttpParserCallbackError, a subclass of HttpParserError, which is what malformed bytes raise.

The callback error is now caught first, logged with the exception behind it as `connection.failed`, and answered 503: a request whose head failed was never handed on. One whose body is arriving may run, so it gets no answer; its connection is closed, as for a malformed body.

--- a/waxwingspool/proxy/caller.py
+++ b/waxwingspool/proxy/caller.py
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Rejection:
-    """An invalid request; the connection is closed after the response."""
+    """A request that is not handled; the connection is closed after the response."""
 
     status: int
     reason: str
@@ -121,6 +121,10 @@
             self._head_bytes += len(data)
         try:
             self._parse(data)
+        except httptools.HttpParserCallbackError as error:
+            # A failure of our own in a callback; a request whose body is arriving gets no response.
+            eventlog.event("connection.failed", error=repr(error.__context__))
+            self._reject(503, "internal failure")
         except httptools.HttpParserError as error:
             self._reject(400, f"malformed request: {error}")
         if self._in_head and self._head_bytes > self._get_limits().max_header_bytes:
@@ -399,7 +403,7 @@
         return sum(len(k) + len(v) + 4 for k, v in self._headers) + len(self._target)
 
     def _reject(self, status: int, reason: str) -> None:
-        """Queue an error response to an invalid request and stop reading."""
+        """Queue an error response to a request that is not handled and stop reading."""
         self._log_rejection(status, reason)
         self._rejected = True
         self._in_head = False
--- a/waxwingspool/proxy/tests/test_caller.py
+++ b/waxwingspool/proxy/tests/test_caller.py
@@ -6,7 +6,7 @@
 
 from waxwingspool.catalog import routes
 from waxwingspool.observe import counters, eventlog
-from waxwingspool.proxy import caller
+from waxwingspool.proxy import body, caller
 
 
 class FakeTransport:
@@ -143,6 +143,15 @@
         large_body = b"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n"
         self.assertIn(b" 413 ", await self.feed(large_body, limits))
 
+    async def test_failure_of_our_own_while_parsing_is_not_told_as_the_callers(self) -> None:
+        with (
+            mock.patch.object(body, "Body", side_effect=RuntimeError("broken")),
+            mock.patch.object(eventlog, "event") as event,
+        ):
+            response = await self.feed(b"GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertIn(b"HTTP/1.1 503 ", response)
+        event.assert_any_call("connection.failed", error="RuntimeError('broken')")
+
     async def test_rejection_is_logged_with_its_inputs_and_counted(self) -> None:
         limits = routes.Limits(max_body_bytes=10)
         connection = caller.Connection(
