Hold a body to the limit that its request was admitted under

Callers see: a request whose body is still arriving when a configuration with a lower body limit comes into force is cut off: its connection is closed without an answer, and an upstream that has begun to read it is reset.

Cause: each piece of a body was compared with the limit in force at that moment, not with the one its head was admitted under. The 413 that this queues is never sent, since a connection with an incomplete body isn't kept.

Evidence, the new test before the change (`request.body.complete`): AssertionError: False is not true Only bodies above the new limit were affected, so a deployment whose configurations keep their limits doesn't meet it.

The request now carries its limit; `request.rejected` logs that one for a body.

--- a/waxwingspool/proxy/caller.py
+++ b/waxwingspool/proxy/caller.py
@@ -32,6 +32,7 @@
     :ivar path: the path without the query.
     :ivar length: length of the body in bytes, ``None`` if its transfer coding is chunked.
     :ivar arrived_at: event loop time at which the head was complete, in seconds.
+    :ivar max_body_bytes: limit on the body that was in force when the head was complete.
     """
 
     method: bytes
@@ -43,6 +44,7 @@
     length: int | None
     arrived_at: float
     keep_alive: bool
+    max_body_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -208,7 +210,7 @@
         if self._incoming is None or self._rejected:
             return
         self._incoming.body.feed(data)
-        if self._incoming.body.received_bytes > self._get_limits().max_body_bytes:
+        if self._incoming.body.received_bytes > self._incoming.max_body_bytes:
             self._incoming.body.fail()
             self._reject(413, "the body is larger than the limit")
 
@@ -395,6 +397,7 @@
             length=None if length is None else int(length),
             arrived_at=self._loop.time(),
             keep_alive=self._parser.should_keep_alive(),
+            max_body_bytes=limits.max_body_bytes,
         )
 
     @property
@@ -431,7 +434,7 @@
             read_with_head=self._head_bytes,
             length=_shorten(message.get_header(self._headers, b"content-length")),
             body_bytes=None if incoming is None else incoming.body.received_bytes,
-            body_limit=limits.max_body_bytes,
+            body_limit=limits.max_body_bytes if incoming is None else incoming.max_body_bytes,
             earlier_requests=self._completed_requests,
             **self._describe_configuration(),
         )
--- a/waxwingspool/proxy/tests/test_caller.py
+++ b/waxwingspool/proxy/tests/test_caller.py
@@ -178,6 +178,20 @@
         (call,) = (c for c in event.call_args_list if c.args == ("request.rejected",))
         self.assertEqual((b"/a/", 3), (call.kwargs["path"], call.kwargs["body_bytes"]))
 
+    async def test_body_keeps_the_limit_that_its_request_was_admitted_under(self) -> None:
+        limits = [routes.Limits(max_body_bytes=100)]
+        connection = caller.Connection(self.handle, lambda: limits[-1], lambda: False, set())
+        connection.connection_made(self.transport)
+        self.addCleanup(connection.connection_lost, None)
+        head = b"POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 20\r\n\r\n"
+        for data in (head, b"x" * 20):
+            connection.data_received(data)
+            limits.append(routes.Limits(max_body_bytes=10))
+            for _ in range(10):
+                await asyncio.sleep(0)
+        self.assertIn(b"HTTP/1.1 200 OK", self.transport.data)
+        self.assertTrue(self.requests[0].body.complete)
+
     async def test_connection_is_closed_after_response_while_stopping(self) -> None:
         connection = self.connect(is_stopping=True)
         connection.data_received(b"GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n")
--- a/waxwingspool/proxy/tests/test_forward.py
+++ b/waxwingspool/proxy/tests/test_forward.py
@@ -25,7 +25,7 @@
     complete_body.finish()
     fields = [(b"x-request-id", b"r1"), (b"x-request-deadline", b"600000")]
     now = asyncio.get_running_loop().time()
-    return caller.Request(b"GET", b"/t/x", "/t/x", "a", fields, complete_body, 0, now, True)
+    return caller.Request(b"GET", b"/t/x", "/t/x", "a", fields, complete_body, 0, now, True, 0)
 
 
 class HedgeTest(unittest.IsolatedAsyncioTestCase):
