Don't time a pipelined head while the request before it is served

Callers see: a head that begins in the same read as the request before it and is completed a moment later gets 408 once the response before it has taken longer than the head timeout, though all its bytes were there.

Cause: the head's timer was held back only while a request is being served, not while one waits to be; the rest of the head is then kept until the response is sent, and the timer runs on. On the other hand a head that began during a response was given the idle timeout afterwards.

Evidence, the new test before the change: AssertionError: 2 != 1 (responses; the second is the 408)

Now one function sets the timer for what the connection waits for, and only when it waits: the rest of a head that has begun, or the next request.

--- a/waxwingspool/proxy/caller.py
+++ b/waxwingspool/proxy/caller.py
@@ -110,7 +110,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(WRITE_HIGH_WATER_BYTES)
         self._registry.add(self)
-        self._set_timer(self._get_limits().idle_timeout_s, self._on_idle_timeout)
+        self._set_receive_timer()
         self._task = self._loop.create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
@@ -180,8 +180,8 @@
         self._headers = []
         self._target = b""
         self._in_head = True
-        if not self.busy:
-            self._set_timer(self._get_limits().header_timeout_s, self._on_head_timeout)
+        if not self.busy and not self._pending:
+            self._set_receive_timer()
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -320,7 +320,8 @@
         self.busy = False
         if self.disconnected or not self.can_keep_alive(request):
             return False
-        self._set_timer(self._get_limits().idle_timeout_s, self._on_idle_timeout)
+        if not self._pending:
+            self._set_receive_timer()
         data, self._pipelined = self._pipelined, b""
         self._transport.resume_reading()
         if data:
@@ -447,6 +448,14 @@
         if not self.busy and not self._pending:
             self._transport.close()
 
+    def _set_receive_timer(self) -> None:
+        """Limit the wait for the next request, or for the rest of a head that has begun."""
+        limits = self._get_limits()
+        if self._in_head:
+            self._set_timer(limits.header_timeout_s, self._on_head_timeout)
+        else:
+            self._set_timer(limits.idle_timeout_s, self._on_idle_timeout)
+
     def _set_timer(self, delay_s: float | None, callback: Callable[[], None] | None = None) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/waxwingspool/proxy/tests/test_caller.py
+++ b/waxwingspool/proxy/tests/test_caller.py
@@ -192,6 +192,27 @@
         self.assertIn(b"HTTP/1.1 200 OK", self.transport.data)
         self.assertTrue(self.requests[0].body.complete)
 
+    async def test_head_that_arrives_during_a_response_is_not_late(self) -> None:
+        release = asyncio.Event()
+
+        async def handle(connection: caller.Connection, request: caller.Request) -> None:
+            await release.wait()
+            connection.respond(request, 200, "done", [])
+
+        limits = routes.Limits(header_timeout_s=0.0)
+        connection = caller.Connection(handle, lambda: limits, lambda: False, set())
+        connection.connection_made(self.transport)
+        self.addCleanup(connection.connection_lost, None)
+        head = b"GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n"
+        for data in (head + head[:10], head[10:]):
+            connection.data_received(data)
+            for _ in range(10):
+                await asyncio.sleep(0)
+        release.set()
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertEqual(2, self.transport.data.count(b"HTTP/1.1 200 OK"))
+
     async def test_connection_is_closed_after_response_while_stopping(self) -> None:
         connection = self.connect(is_stopping=True)
         connection.data_received(b"GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n")
