Log a 404 under a name of its own, so that it isn't dropped

At most 60 lines a second are written for one event name. A 404 shared `request.ended` with every response, so a balancer with more requests than that dropped most of its refusals. Trial: after 100 responses in the same second the line of a 404 was written 0 times as `request.ended` and once as `request.rejected`, which the other refusals have. The 503 without a configuration keeps its name, since it can be given to every request.

--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -153,7 +153,8 @@
         self, connection: caller.Connection, request: caller.Request, status: int, reason: str
     ) -> None:
         eventlog.event(
-            "request.ended",
+            # A name of their own keeps the few refusals from being dropped among many responses.
+            "request.rejected" if status < 500 else "request.ended",
             id=message.get_header(request.headers, self._header_names.request_id),
             outcome="own-answer",
             status=status,
--- a/waxwingspool/proxy/tests/test_forward.py
+++ b/waxwingspool/proxy/tests/test_forward.py
@@ -126,5 +126,6 @@
         with mock.patch.object(eventlog, "event") as event:
             await self.make_forwarder().handle(mock.Mock(), request)
         fields = event.call_args.kwargs
+        self.assertEqual(("request.rejected",), event.call_args.args)
         self.assertEqual((404, 1, 0.25), (fields["status"], fields["version"], fields["age_s"]))
         self.assertEqual(caller.MAX_LOGGED_BYTES, len(fields["path"]))
