Merge what tells misjudged requests from wrong ones, and three wrong rejections mended

Change: refusals are logged with their inputs and counted; an Upgrade header that can be ignored, white space after a header value and limits of another configuration no longer end in 4xx. None of the three is shown to be the reported fault.

--- a/waxwingspool/proxy/caller.py
+++ b/waxwingspool/proxy/caller.py
@@ -8,7 +8,7 @@
 import httptools
 
 from waxwingspool.catalog import routes
-from waxwingspool.observe import eventlog
+from waxwingspool.observe import counters, eventlog
 from waxwingspool.proxy import body, message
 
 __all__ = ["Connection", "Handler", "Request"]
@@ -20,6 +20,8 @@
 LINGER_TIMEOUT_S = 2.0
 # Bytes of pipelined requests above which reading is paused until the current response is sent.
 PIPELINE_HIGH_WATER_BYTES = 64 * 1024
+# Longest text of a caller in a line of the log, in bytes.
+MAX_LOGGED_BYTES = 120
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,6 +32,7 @@
     :ivar path: the path without the query.
     :ivar length: length of the body in bytes, ``None`` if its transfer coding is chunked.
     :ivar arrived_at: event loop time at which the head was complete, in seconds.
+    :ivar max_body_bytes: limit on the body that was in force when the head was complete.
     """
 
     method: bytes
@@ -41,11 +44,12 @@
     length: int | None
     arrived_at: float
     keep_alive: bool
+    max_body_bytes: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Rejection:
-    """An invalid request; the connection is closed after the response."""
+    """A request that is not handled; the connection is closed after the response."""
 
     status: int
     reason: str
@@ -62,6 +66,8 @@
     :param is_stopping: whether the process is stopping; the connection is then closed after the
         current response.
     :param registry: set that contains the connection while it is open.
+    :param id_header: request header that carries the request id, for the log.
+    :param describe_configuration: returns fields for the log about the configuration in force.
     :ivar connection_closed: future that is done once the connection is closed.
     """
 
@@ -71,11 +77,15 @@
         get_limits: Callable[[], routes.Limits],
         is_stopping: Callable[[], bool],
         registry: set["Connection"],
+        id_header: bytes = b"",
+        describe_configuration: Callable[[], dict[str, object]] = dict,
     ) -> None:
         self._handler = handler
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._registry = registry
+        self._id_header = id_header
+        self._describe_configuration = describe_configuration
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._pending: collections.deque[Request | _Rejection] = collections.deque()
@@ -90,6 +100,7 @@
         self._rejected = False
         self._pipelined = b""
         self._response_started = False
+        self._completed_requests = 0
         self.busy = False
         self.connection_closed = self._loop.create_future()
 
@@ -99,7 +110,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(WRITE_HIGH_WATER_BYTES)
         self._registry.add(self)
-        self._set_timer(self._get_limits().idle_timeout_s, self._on_idle_timeout)
+        self._set_receive_timer()
         self._task = self._loop.create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
@@ -111,9 +122,11 @@
         if self._in_head or self._incoming is None:
             self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrades and tunnels are not supported")
+            self._parse(data)
+        except httptools.HttpParserCallbackError as error:
+            # A failure of our own in a callback; a request whose body is arriving gets no response.
+            eventlog.event("connection.failed", error=repr(error.__context__))
+            self._reject(503, "internal failure")
         except httptools.HttpParserError as error:
             self._reject(400, f"malformed request: {error}")
         if self._in_head and self._head_bytes > self._get_limits().max_header_bytes:
@@ -142,26 +155,49 @@
 
     # Parser callbacks
 
+    def _parse(self, data: bytes) -> None:
+        """Parse data, ignoring upgrades; the parser ends each head with one as if it had no body.
+
+        :raises httptools.HttpParserError: the data is malformed.
+        """
+        while data and not self._rejected:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                head = self._format_head_without_upgrade()
+                data = head + data[upgrade.args[0] :]
+                self._parser = httptools.HttpRequestParser(self)
+
+    def _format_head_without_upgrade(self) -> bytes:
+        """Return the last head without its upgrade, for another parser."""
+        headers = [(key, value) for key, value in self._headers if key != b"upgrade"]
+        version = self._parser.get_http_version().encode()
+        line = b"%b %b HTTP/%b" % (self._parser.get_method(), self._target, version)
+        return message.format_head(line, headers)
+
     def on_message_begin(self) -> None:
         self._headers = []
         self._target = b""
         self._in_head = True
-        if not self.busy:
-            self._set_timer(self._get_limits().header_timeout_s, self._on_head_timeout)
+        if not self.busy and not self._pending:
+            self._set_receive_timer()
 
     def on_url(self, url: bytes) -> None:
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_head:
-            self._headers.append((name.lower(), value))
+            # The parser leaves white space after the value in it (RFC 9110, section 5.5).
+            self._headers.append((name.lower(), value.rstrip(b" \t")))
 
     def on_headers_complete(self) -> None:
+        if self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT":
+            return
         self._in_head = False
-        head_bytes = self._head_bytes
-        self._head_bytes = 0
         self._set_timer(None)
-        request = self._validate_head(head_bytes)
+        request = self._validate_head(self._head_bytes)
+        self._head_bytes = 0
         if request is None:
             return
         self._incoming = request
@@ -174,7 +210,7 @@
         if self._incoming is None or self._rejected:
             return
         self._incoming.body.feed(data)
-        if self._incoming.body.received_bytes > self._get_limits().max_body_bytes:
+        if self._incoming.body.received_bytes > self._incoming.max_body_bytes:
             self._incoming.body.fail()
             self._reject(413, "the body is larger than the limit")
 
@@ -182,6 +218,8 @@
         if self._incoming is not None:
             self._incoming.body.finish()
             self._incoming = None
+            self._headers = []
+            self._target = b""
 
     # Responses
 
@@ -271,17 +309,19 @@
     async def _process(self, request: Request | _Rejection) -> bool:
         """Process one request and return whether the connection stays open."""
         if isinstance(request, _Rejection):
-            eventlog.event("request.rejected", status=request.status, reason=request.reason)
+            counters.record_response("own", request.status)
             self.respond(None, request.status, request.reason, [])
             return False
         self.busy = True
         self._response_started = False
         await self._handler(self, request)
         await self._discard_body(request)
+        self._completed_requests += 1
         self.busy = False
         if self.disconnected or not self.can_keep_alive(request):
             return False
-        self._set_timer(self._get_limits().idle_timeout_s, self._on_idle_timeout)
+        if not self._pending:
+            self._set_receive_timer()
         data, self._pipelined = self._pipelined, b""
         self._transport.resume_reading()
         if data:
@@ -327,6 +367,8 @@
         hosts = [value for key, value in self._headers if key == b"host"]
         if len(hosts) != 1 or not hosts[0]:
             return self._reject(400, "exactly one Host header is required")
+        if self._parser.get_method() == b"CONNECT":
+            return self._reject(400, "tunnels are not supported")
         if not self._target.startswith(b"/") or b"#" in self._target or b"\\" in self._target:
             return self._reject(400, "the request target is not an absolute path")
         encoding = message.get_header(self._headers, b"transfer-encoding")
@@ -335,7 +377,10 @@
         if self._parser.get_http_version() not in ("1.1", "1.0"):
             return self._reject(400, "the HTTP version is not supported")
         limits = self._get_limits()
-        if head_bytes > limits.max_header_bytes and not self._headers_fit(limits.max_header_bytes):
+        if (
+            head_bytes > limits.max_header_bytes
+            and self._parsed_head_bytes >= limits.max_header_bytes
+        ):
             return self._reject(431, "the head is larger than the limit")
         length = message.get_header(self._headers, b"content-length")
         if length is None and encoding is None:
@@ -353,14 +398,17 @@
             length=None if length is None else int(length),
             arrived_at=self._loop.time(),
             keep_alive=self._parser.should_keep_alive(),
+            max_body_bytes=limits.max_body_bytes,
         )
 
-    def _headers_fit(self, limit: int) -> bool:
-        """Whether the head alone is within the limit, without body bytes that were read with it."""
-        return sum(len(k) + len(v) + 4 for k, v in self._headers) + len(self._target) < limit
+    @property
+    def _parsed_head_bytes(self) -> int:
+        """Size of the head without the rest of the request line and without body bytes."""
+        return sum(len(k) + len(v) + 4 for k, v in self._headers) + len(self._target)
 
     def _reject(self, status: int, reason: str) -> None:
-        """Queue an error response to an invalid request and stop reading."""
+        """Queue an error response to a request that is not handled and stop reading."""
+        self._log_rejection(status, reason)
         self._rejected = True
         self._in_head = False
         if not self._transport.is_closing():
@@ -371,6 +419,27 @@
         self._pending.append(_Rejection(status, reason))
         self._wake(self._request_waiter)
 
+    def _log_rejection(self, status: int, reason: str) -> None:
+        """Log what distinguishes an invalid request from a valid one that was misjudged."""
+        limits = self._get_limits()
+        incoming = self._incoming
+        eventlog.event(
+            "request.rejected",
+            id=_shorten(message.get_header(self._headers, self._id_header)),
+            status=status,
+            reason=reason,
+            host=_shorten(message.get_header(self._headers, b"host")),
+            path=_shorten(self._target.partition(b"?")[0]),
+            head_bytes=self._parsed_head_bytes,
+            head_limit=limits.max_header_bytes,
+            read_with_head=self._head_bytes,
+            length=_shorten(message.get_header(self._headers, b"content-length")),
+            body_bytes=None if incoming is None else incoming.body.received_bytes,
+            body_limit=limits.max_body_bytes if incoming is None else incoming.max_body_bytes,
+            earlier_requests=self._completed_requests,
+            **self._describe_configuration(),
+        )
+
     def _on_head_timeout(self) -> None:
         if self._in_head:
             self._reject(408, "the head did not arrive in time")
@@ -379,6 +448,14 @@
         if not self.busy and not self._pending:
             self._transport.close()
 
+    def _set_receive_timer(self) -> None:
+        """Limit the wait for the next request, or for the rest of a head that has begun."""
+        limits = self._get_limits()
+        if self._in_head:
+            self._set_timer(limits.header_timeout_s, self._on_head_timeout)
+        else:
+            self._set_timer(limits.idle_timeout_s, self._on_idle_timeout)
+
     def _set_timer(self, delay_s: float | None, callback: Callable[[], None] | None = None) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -390,3 +467,7 @@
     def _wake(future: asyncio.Future | None) -> None:
         if future is not None and not future.done():
             future.set_result(None)
+
+
+def _shorten(value: bytes | None) -> bytes | None:
+    return None if value is None else value[:MAX_LOGGED_BYTES]
