Cut off a response head that does not end

What callers see: a request at an upstream whose head never ends waits until its deadline, and the balancer slows down for everyone else meanwhile.

Cause: nothing limits a response head. httptools joins a header or a reason phrase to what it has with each read, and the connection keeps header lines; interim responses, line ends ahead of the status line and responses to other requests are read and dropped without end.

It was never aborted. test_endless_response_head_is_cut_off failed in all nine cases: "the connection is still open after 4194304 bytes".

Change: until its own response has begun, an exchange may receive 64 KiB that are not the body of a skipped response, and 1 MiB of such bodies. Beyond that it is malformed and the connection is reset, so the attempt counts as failed, may have run, and is repeated elsewhere if the route and the budget allow it; otherwise the answer is 502. Both limits were chosen, not measured. Still possible: heads of 64 KiB together with all interim responses, and late responses to other requests of 1 MiB in sum (test_long_head_and_long_late_response_are_accepted).

--- a/waxwingspool/proxy/tests/test_upstream.py
+++ b/waxwingspool/proxy/tests/test_upstream.py
@@ -6,6 +6,10 @@
 from waxwingspool.proxy import upstream
 
 ID_HEADER = b"x-id"
+# Bytes after which a stand-in counts as sending without end.
+ENDLESS_BYTES = 4 * 1024 * 1024
+KIBIBYTE = b"x" * 1024
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: %b\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 def response_bytes(request_id: bytes, data: bytes, *headers: bytes) -> bytes:
@@ -32,6 +36,54 @@
         connection.send_head(b"GET / HTTP/1.1\r\n\r\n", request_id)
         return connection
 
+    def feed_endlessly(self, connection: upstream.Connection, start: bytes, piece: bytes) -> None:
+        """Feed bytes without end, and check that the connection is aborted."""
+        connection.data_received(start)
+        for _ in range(ENDLESS_BYTES // len(piece)):
+            if self.transport.abort.called:
+                return
+            connection.data_received(piece)
+        self.fail(f"the connection is still open after {ENDLESS_BYTES} bytes")
+
+    async def test_endless_response_head_is_cut_off(self) -> None:
+        cases = {
+            "status line": (b"HTTP/1.1 200 ", KIBIBYTE),
+            "header name": (b"HTTP/1.1 200 OK\r\nX", KIBIBYTE),
+            "header value": (b"HTTP/1.1 200 OK\r\nX: ", KIBIBYTE),
+            "header lines": (b"HTTP/1.1 200 OK\r\n", b"X: a\r\n" * 100),
+            "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+            "line ends": (b"", b"\r\n" * 100),
+            "responses to other requests": (b"", response_bytes(b"zero", b"late") * 100),
+            "body of a response to another request": (CHUNKED_HEAD % b"zero", b"1\r\nx\r\n" * 100),
+            "long body of such a response": (
+                CHUNKED_HEAD % b"zero",
+                b"400\r\n" + KIBIBYTE + b"\r\n",
+            ),
+        }
+        for name, (start, piece) in cases.items():
+            with self.subTest(name):
+                self.transport = FakeTransport()
+                connection = self.start_exchange()
+                self.feed_endlessly(connection, start, piece)
+                connection.connection_lost(None)
+                with self.assertRaises(upstream.Broken) as caught:
+                    await connection.read_response()
+                self.assertEqual(caught.exception.failure, upstream.ExchangeFailure.MALFORMED)
+                self.assertFalse(connection.finish())
+
+    async def test_long_head_and_long_late_response_are_accepted(self) -> None:
+        connection = self.start_exchange()
+        for _ in range(3):
+            connection.data_received(b"HTTP/1.1 100 Continue\r\n\r\n")
+        late = response_bytes(b"zero", KIBIBYTE * 512)
+        own = response_bytes(b"one", KIBIBYTE * 100, b"X-Long: " + KIBIBYTE * 32)
+        data = late + own
+        for start in range(0, len(data), 1000):
+            connection.data_received(data[start : start + 1000])
+        response = await connection.read_response()
+        self.assertEqual(response.body.read_available(), KIBIBYTE * 100)
+        self.assertTrue(response.body.complete)
+
     async def test_complete_response_leaves_connection_usable(self) -> None:
         connection = self.start_exchange()
         connection.data_received(response_bytes(b"one", b"abc"))
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -12,6 +12,10 @@
 
 # Larger than any body: waiting for at least this many bytes waits for the complete body.
 UNLIMITED_BYTES = 1 << 62
+# Largest response head in bytes, together with interim and skipped responses' heads.
+MAX_HEAD_BYTES = 64 * 1024
+# Bytes of responses to other requests that are skipped in one exchange, without their heads.
+MAX_SKIPPED_BYTES = 1024 * 1024
 
 
 class ExchangeFailure(enum.StrEnum):
@@ -68,6 +72,7 @@
 
     :param id_header: response header that carries the request id, ``None`` to accept responses
         without comparing ids.
+    :ivar failure: why the exchange failed, ``None`` if it has not.
     :ivar idle_since: event loop time in seconds at which the last exchange ended.
     :ivar keep_alive_s: idle timeout in seconds that the upstream announced, ``None`` if it
         announced none.
@@ -83,9 +88,12 @@
         self._reason = b""
         self._in_head = False
         self._skipping = False
+        self._head_allowance = 0
+        self._skip_allowance = 0
         self._drain_waiter: asyncio.Future | None = None
         self._invalid = False
         self._reusable = True
+        self.failure: Broken | None = None
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.closed = False
@@ -106,11 +114,20 @@
         if self._response_future is None:
             self._invalidate()
             return
+        if self._response is None:
+            self._head_allowance -= len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(ExchangeFailure.MALFORMED, str(error))
             self._invalidate()
+        if self._response is None and self._head_allowance < 0:
+            self._fail(ExchangeFailure.MALFORMED, f"no answer in {MAX_HEAD_BYTES} bytes of heads")
+            self._invalidate()
+        if self._skip_allowance < 0:
+            detail = f"over {MAX_SKIPPED_BYTES} bytes of answers to other requests"
+            self._fail(ExchangeFailure.MALFORMED, detail)
+            self._invalidate()
 
     def eof_received(self) -> bool:
         response = self._response
@@ -166,7 +183,10 @@
 
     def on_body(self, data: bytes) -> None:
         response = self._response
-        if response is not None and not self._skipping and not response.body.complete:
+        if self._skipping:
+            self._skip_allowance -= len(data)
+            self._head_allowance += len(data)
+        elif response is not None and not response.body.complete:
             response.body.feed(data)
 
     def on_message_complete(self) -> None:
@@ -187,6 +207,9 @@
         self._parser = httptools.HttpResponseParser(self)
         self._expected_id = request_id
         self._response = None
+        self._head_allowance = MAX_HEAD_BYTES
+        self._skip_allowance = MAX_SKIPPED_BYTES
+        self.failure = None
         self._response_future = self._loop.create_future()
         # Retrieves the exception, so that asyncio does not report it if nobody awaits the response.
         self._response_future.add_done_callback(
@@ -243,10 +266,12 @@
         response.body.finish()
 
     def _fail(self, failure: ExchangeFailure, detail: str) -> None:
+        if self.failure is None:
+            self.failure = Broken(failure, detail)
         if self._response is not None:
             self._response.body.fail()
         if self._response_future is not None and not self._response_future.done():
-            self._response_future.set_exception(Broken(failure, detail))
+            self._response_future.set_exception(self.failure)
 
     def _invalidate(self) -> None:
         """Abort a connection that received unexpected or malformed bytes."""
