Cut off chunk framing and trailers that do not end

What callers see: a request whose response has a sound head and then a chunk size, a chunk extension or trailers without end waits until its deadline; one whose response has been started waits until the caller leaves.

Cause: back pressure acts on body data only. Framing yields none, so reading never pauses, nothing limits it, and httptools keeps the header line of a trailer. Line ends after a complete response pass the parser unnoticed.

Change: the allowance of 64 KiB goes on after the head, and each byte of body data restores 17 bytes of it, up to the 64 KiB. A peer that sends one byte of data for each long extension is cut off as well. The reason of the attempt is now the connection's own (malformed or truncated), not always "truncated". Still possible: chunks of one byte with padded sizes and an extension, and a trailer of some KB (test_body_in_single_bytes_is_accepted). The limit was chosen, not measured.

--- a/waxwingspool/proxy/exchange.py
+++ b/waxwingspool/proxy/exchange.py
@@ -116,7 +116,7 @@
     await response.body.wait_for_data(RESPONSE_BUFFER_BYTES)
     data = response.body.read_available()
     if response.body.failed:
-        raise upstream.Broken(upstream.ExchangeFailure.TRUNCATED, "in the middle of the answer")
+        raise connection.failure
     if upload is not None and not _upload_complete(upload):
         # The upstream still expects the rest of the body and would read the next request as part
         # of it.
--- a/waxwingspool/proxy/tests/test_upstream.py
+++ b/waxwingspool/proxy/tests/test_upstream.py
@@ -71,6 +71,42 @@
                 self.assertEqual(caught.exception.failure, upstream.ExchangeFailure.MALFORMED)
                 self.assertFalse(connection.finish())
 
+    async def test_endless_chunk_framing_is_cut_off(self) -> None:
+        start = CHUNKED_HEAD % b"one" + b"1\r\nx\r\n"
+        cases = {
+            "chunk size": (start, b"0" * 1024),
+            "chunk extension": (start + b"1;a=", KIBIBYTE),
+            "trailer value": (start + b"0\r\nX: ", KIBIBYTE),
+            "trailer lines": (start + b"0\r\n", b"X: a\r\n" * 100),
+            "extensions of small chunks": (start, (b"1;a=" + KIBIBYTE + b"\r\nx\r\n") * 10),
+        }
+        for name, (start, piece) in cases.items():
+            with self.subTest(name):
+                self.transport = FakeTransport()
+                connection = self.start_exchange()
+                self.feed_endlessly(connection, start, piece)
+                response = await connection.read_response()
+                self.assertTrue(response.body.failed)
+                self.assertEqual(connection.failure.failure, upstream.ExchangeFailure.MALFORMED)
+
+    async def test_line_ends_without_end_after_response_are_cut_off(self) -> None:
+        connection = self.start_exchange()
+        self.feed_endlessly(connection, response_bytes(b"one", b"abc"), b"\r\n" * 100)
+        response = await connection.read_response()
+        self.assertTrue(response.body.complete)
+        self.assertEqual(response.body.read_available(), b"abc")
+        self.assertFalse(connection.finish())
+
+    async def test_body_in_single_bytes_is_accepted(self) -> None:
+        connection = self.start_exchange()
+        connection.data_received(CHUNKED_HEAD % b"one")
+        for _ in range(40):
+            connection.data_received(b"0001;a=b\r\nx\r\n" * 1000)
+        connection.data_received(b"0\r\nX: " + KIBIBYTE + b"\r\n\r\n")
+        response = await connection.read_response()
+        self.assertTrue(response.body.complete)
+        self.assertEqual(len(response.body.read_available()), 40_000)
+
     async def test_long_head_and_long_late_response_are_accepted(self) -> None:
         connection = self.start_exchange()
         for _ in range(3):
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -12,8 +12,11 @@
 
 # Larger than any body: waiting for at least this many bytes waits for the complete body.
 UNLIMITED_BYTES = 1 << 62
-# Largest response head in bytes, together with interim and skipped responses' heads.
+# Largest response head in bytes, together with interim and skipped responses' heads. Also the
+# largest number of bytes of chunk framing and trailers beyond those that body data allows for.
 MAX_HEAD_BYTES = 64 * 1024
+# Bytes of chunk framing that each byte of body data allows for.
+MAX_FRAMING_PER_BODY_BYTE = 16
 # Bytes of responses to other requests that are skipped in one exchange, without their heads.
 MAX_SKIPPED_BYTES = 1024 * 1024
 
@@ -88,7 +91,7 @@
         self._reason = b""
         self._in_head = False
         self._skipping = False
-        self._head_allowance = 0
+        self._overhead_allowance = 0
         self._skip_allowance = 0
         self._drain_waiter: asyncio.Future | None = None
         self._invalid = False
@@ -114,15 +117,15 @@
         if self._response_future is None:
             self._invalidate()
             return
-        if self._response is None:
-            self._head_allowance -= len(data)
+        self._overhead_allowance -= len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(ExchangeFailure.MALFORMED, str(error))
             self._invalidate()
-        if self._response is None and self._head_allowance < 0:
-            self._fail(ExchangeFailure.MALFORMED, f"no answer in {MAX_HEAD_BYTES} bytes of heads")
+        if self._overhead_allowance < 0:
+            part = "head" if self._response is None else "framing"
+            self._fail(ExchangeFailure.MALFORMED, f"over {MAX_HEAD_BYTES} bytes of {part}")
             self._invalidate()
         if self._skip_allowance < 0:
             detail = f"over {MAX_SKIPPED_BYTES} bytes of answers to other requests"
@@ -185,8 +188,10 @@
         response = self._response
         if self._skipping:
             self._skip_allowance -= len(data)
-            self._head_allowance += len(data)
+            self._overhead_allowance += len(data)
         elif response is not None and not response.body.complete:
+            allowance = self._overhead_allowance + (1 + MAX_FRAMING_PER_BODY_BYTE) * len(data)
+            self._overhead_allowance = min(MAX_HEAD_BYTES, allowance)
             response.body.feed(data)
 
     def on_message_complete(self) -> None:
@@ -207,7 +212,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._expected_id = request_id
         self._response = None
-        self._head_allowance = MAX_HEAD_BYTES
+        self._overhead_allowance = MAX_HEAD_BYTES
         self._skip_allowance = MAX_SKIPPED_BYTES
         self.failure = None
         self._response_future = self._loop.create_future()
