Do not wait for the end of a response that cannot be forwarded

What callers see: an upstream that sends a plausible head without signature or id, or a refusal, and then a body without end keeps the request and its slot until the deadline if the body is slow: 504 for a request that may not be repeated, the answer of a hedge for others. A refusal with 128 KB or more of body counted as not run.

Cause: the exchange read 128 KB or up to the end of the response before it looked at the head.

Evidence: on the virtual clock, before the change: 504 after 10 s for a refusal with a byte each 10 ms, 503 "turned away with status 503" for one with 64 KB each 10 ms; the idempotent request with an unsigned head got its answer from the hedge, and the failure was never reported (answered, abandoned instead of failed, answered).

Change: a response without proof is given up at its head. A refusal must end within 128 KB and 1 s of its head, else it is no answer: the request may have run, so 502 if it may not be repeated. Both kinds count as failures of the upstream with their cause in attempt.ended. The 1 s was chosen: a refusal is short, and a lost packet is repeated within it. Still possible: signed responses of any size and slowness until the deadline, as before. The price is a connection for a response without proof whose body comes after its head.

--- a/waxwingspool/proxy/exchange.py
+++ b/waxwingspool/proxy/exchange.py
@@ -12,6 +12,8 @@
 # Bytes of a response that are buffered before any are forwarded, so that a shorter response that
 # is truncated can be replaced by another upstream's.
 RESPONSE_BUFFER_BYTES = 128 * 1024
+# Time for the rest of a refusal after its head, in seconds: it is short and sent with its head.
+REFUSAL_TIMEOUT_S = 1.0
 # Misdirected Request: the upstream did not run the request, whether or not the response also
 # carries the header that says so.
 _MISDIRECTED = 421
@@ -113,7 +115,7 @@
     finally:
         if upload is not None:
             upload.cancel()
-    await response.body.wait_for_data(RESPONSE_BUFFER_BYTES)
+    await _wait_for_body(response, names)
     data = response.body.read_available()
     if response.body.failed:
         raise connection.failure
@@ -129,6 +131,25 @@
     return result
 
 
+async def _wait_for_body(response: upstream.Response, names: header_names.HeaderNames) -> None:
+    """Wait for the part of the body to buffer if the head allows a use of the response.
+
+    :raises waxwingspool.proxy.upstream.Broken: the body of a refusal does not end.
+    """
+    if not _is_refusal(response, names):
+        if _has_proof(response, names):
+            await response.body.wait_for_data(RESPONSE_BUFFER_BYTES)
+        return
+    try:
+        async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+            await response.body.wait_for_data(RESPONSE_BUFFER_BYTES)
+    except TimeoutError:
+        pass
+    if not response.body.complete and not response.body.failed:
+        detail = f"no end of the answer with status {response.status}"
+        raise upstream.Broken(upstream.ExchangeFailure.MALFORMED, detail)
+
+
 def _format_request_head(attempt: Attempt, names: header_names.HeaderNames) -> bytes:
     """Return the request head for the upstream."""
     request = attempt.request
@@ -193,15 +214,12 @@
     load_header = message.get_header(headers, names.load)
     load = None if load_header is None else names.parse_load(load_header.decode("latin-1"))
     slowdown = None if load is None else load.slowdown
-    if message.get_header(headers, names.not_run) is not None or response.status == _MISDIRECTED:
+    if _is_refusal(response, names):
         misdirected = response.status == _MISDIRECTED
         outcome = health.Outcome.MISDIRECTED if misdirected else health.Outcome.FULL
         reason = f"turned away with status {response.status}"
         return Result(outcome, may_have_run=False, reason=reason, slowdown=slowdown)
-    has_signature = message.get_header(headers, names.signature) is not None
-    is_encoded = message.get_header(headers, b"content-encoding") is not None
-    has_request_id = message.get_header(headers, names.request_id) is not None
-    if not has_signature or is_encoded or not has_request_id:
+    if not _has_proof(response, names):
         reason = f"status {response.status} without proof that it is the upstream's"
         return Result(health.Outcome.FAILED, may_have_run=True, reason=reason, slowdown=slowdown)
     failed = response.status >= 500
@@ -210,3 +228,17 @@
     return Result(
         outcome, may_have_run=True, reason=reason, slowdown=slowdown, buffered_response=buffered
     )
+
+
+def _is_refusal(response: upstream.Response, names: header_names.HeaderNames) -> bool:
+    """Whether the head says that the upstream did not run the request."""
+    is_marked = message.get_header(response.headers, names.not_run) is not None
+    return is_marked or response.status == _MISDIRECTED
+
+
+def _has_proof(response: upstream.Response, names: header_names.HeaderNames) -> bool:
+    """Whether the head proves that the response is the upstream's own to this request."""
+    has_signature = message.get_header(response.headers, names.signature) is not None
+    is_encoded = message.get_header(response.headers, b"content-encoding") is not None
+    has_request_id = message.get_header(response.headers, names.request_id) is not None
+    return has_signature and has_request_id and not is_encoded
