Cut off a response or listing of the store that does not end

What callers see: nothing as long as the store is sound. A store that answers a call without end fills the balancer's memory until the call's time is over, up to 4 s, or for the feed the time it waits besides; one that always has a further page fills it without end.

Cause: StoreClient joined a body without a limit, copying what it had with each read, and followed has-more as long as it was told to.

Change: 16 MiB for a response and 32 MiB for the responses of one listing; beyond that the store counts as unavailable, with the cause in the error, and the call is repeated as after any failure. A page holds 500 rows or 1 MB, and frames between balancers are limited to 16 MiB already. Chosen, not measured. A feed response of more than 16 MiB is no longer read.

--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -19,6 +19,9 @@
 WRITE_QUEUE_TIMEOUT_S = 2.0
 # Idle time after which a connection is not reused, in seconds.
 IDLE_TIMEOUT_S = 20.0
+# Largest response in bytes, and largest sum of the responses of one listing; a page holds 1 MB.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_LISTING_BYTES = 32 * 1024 * 1024
 _STATUS_GONE = 410
 
 
@@ -49,8 +52,13 @@
         rows: list[store.Row] = []
         start: str | None = None
         version: int | None = None
+        size = 0
         while True:
-            page = await self._get_page(store.listing_request(table, start), 0.0)
+            data = await self._call(b"GET", store.listing_request(table, start), b"", 0.0)
+            size += len(data)
+            if size > MAX_LISTING_BYTES:
+                raise exceptions.StoreUnavailable(f"a listing has over {MAX_LISTING_BYTES} bytes")
+            page = store.decode_page(data)
             rows += page.rows
             # Later pages may be newer, so the feed continues from the version of the first.
             version = page.version if version is None else version
@@ -66,7 +74,7 @@
         :raises waxwingspool.exceptions.StoreUnavailable: the call failed.
         """
         target = store.changes_request(table, after, wait_s)
-        return await self._get_page(target, wait_s)
+        return store.decode_page(await self._call(b"GET", target, b"", wait_s))
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write one row.
@@ -77,9 +85,6 @@
         target, body = store.put_request(table, key, value)
         await self._call(b"POST", target, body, WRITE_QUEUE_TIMEOUT_S)
 
-    async def _get_page(self, target: str, wait_s: float) -> store.Page:
-        return store.decode_page(await self._call(b"GET", target, b"", wait_s))
-
     async def _call(self, method: bytes, target: str, body: bytes, wait_s: float) -> bytes:
         """Make one call and return the body of the response."""
         self.calls += 1
@@ -130,11 +135,14 @@
         connection.send_head(message.format_head(start, headers), None)
         connection.write(body)
         response = await connection.read_response()
-        data = b""
+        data = bytearray()
         while True:
             await response.body.wait_for_data()
             data += response.body.read_available()
             if response.body.failed:
-                raise upstream.Broken(upstream.ExchangeFailure.TRUNCATED, "response of the store")
+                raise connection.failure
+            if len(data) > MAX_RESPONSE_BYTES:
+                detail = f"over {MAX_RESPONSE_BYTES} bytes"
+                raise upstream.Broken(upstream.ExchangeFailure.MALFORMED, detail)
             if response.body.complete:
-                return response.status, data
+                return response.status, bytes(data)
