Treat a switch of protocols by an upstream as malformed

What callers see: nothing but a reason that misleads: "closed the connection ended before the answer" for an upstream that answered 101 with Upgrade. The log has a traceback instead of a cause.

Cause: httptools raises HttpParserUpgrade for it, which isn't a HttpParserError, out of data_received.

Evidence: test_switch_of_protocols_raises_broken failed with "HttpParserUpgrade: 69".

Change: the exchange fails as malformed with "a switch of protocols". No request asks for an upgrade, so no legitimate answer is lost.

--- a/waxwingspool/proxy/tests/test_upstream.py
+++ b/waxwingspool/proxy/tests/test_upstream.py
@@ -178,6 +178,15 @@
         with self.assertRaises(upstream.Broken):
             await connection.read_response()
 
+    async def test_switch_of_protocols_raises_broken(self) -> None:
+        connection = self.start_exchange()
+        head = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n"
+        connection.data_received(head + KIBIBYTE)
+        with self.assertRaises(upstream.Broken) as caught:
+            await connection.read_response()
+        self.assertEqual(caught.exception.failure, upstream.ExchangeFailure.MALFORMED)
+        self.assertFalse(connection.usable)
+
     async def test_close_before_response_raises_broken(self) -> None:
         connection = self.start_exchange()
         connection.connection_lost(None)
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -120,6 +120,9 @@
         self._overhead_allowance -= len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(ExchangeFailure.MALFORMED, "a switch of protocols")
+            self._invalidate()
         except httptools.HttpParserError as error:
             self._fail(ExchangeFailure.MALFORMED, str(error))
             self._invalidate()
