Ignore a reported load that is not a finite number

What callers see: a reset connection instead of an answer that the upstream had given whole, with X-Server-Load: nan,1,1 or inf,1,1.

Cause: float accepts nan, inf and 1e999, and the conversion to int raised outside of parse_load's try, up to the caller's connection. A probe's task ended and was started anew with a new connection each 0.1 s.

Evidence (trial with the fake transports of proxy/tests/test_endless.py, before the change): nothing delivered, the caller's connection closed, one line connection.failed "ValueError('cannot convert float NaN to integer')", the attempt reported as abandoned; after it the response is delivered and the attempt answered. test_load_that_is_no_finite_number_is_ignored failed in all five cases.

Change: such a header counts as missing.

--- a/waxwingspool/platform/headers.py
+++ b/waxwingspool/platform/headers.py
@@ -1,5 +1,7 @@
 """Header names and the readiness path defined by the platform."""
 
+import math
+
 from waxwingspool.proxy import header_names
 
 __all__ = ["HEADER_NAMES", "READINESS_PATH", "parse_load"]
@@ -24,6 +26,8 @@
         running, waiting, slots = fields[:3]
     except ValueError:
         return None
+    if not all(map(math.isfinite, fields)):
+        return None
     slowdown = fields[3] / 100 if len(fields) > 3 else None
     return header_names.Load(int(running), int(waiting), int(slots), slowdown)
 
--- a/waxwingspool/platform/tests/test_decoding.py
+++ b/waxwingspool/platform/tests/test_decoding.py
@@ -6,7 +6,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import routes
-from waxwingspool.platform import configuration, registration, settings, store
+from waxwingspool.platform import configuration, headers, registration, settings, store
 
 SETTINGS_FILE = """
 [self]
@@ -131,6 +131,13 @@
         self.assertIsNone(registration.decode("i-1", b"\xff\x00", 3, 10.0))
 
 
+class LoadTest(unittest.TestCase):
+    def test_load_that_is_no_finite_number_is_ignored(self) -> None:
+        for text in ("nan,1,1", "1,inf,1", "1,1,1e999", "1,1,1,nan", "1,1,1,-inf"):
+            with self.subTest(text):
+                self.assertIsNone(headers.parse_load(text))
+
+
 class StoreTest(unittest.TestCase):
     def test_rows_and_deleted_rows_are_decoded(self) -> None:
         rows = [
