Let the soak's upstreams send bytes without end

Cause: the soak truncated, lost, doubled and delayed responses, but each of its upstreams ended what it sent.

Change: fault "endless": a header line, a chunk extension, a signed body or an unsigned body without end, 16 KB each 5 ms until the connection is closed, with a probability of 0.3 a response, in the usual mix.

--- a/standins/deployment/planted.py
+++ b/standins/deployment/planted.py
@@ -27,7 +27,16 @@
     :ivar whole_service_share: share of upstream faults that hit all upstreams of a service.
     """
 
-    upstream_faults: tuple[str, ...] = ("slow", "errors", "lose", "cut", "extra", "late", "shed")
+    upstream_faults: tuple[str, ...] = (
+        "slow",
+        "errors",
+        "lose",
+        "cut",
+        "extra",
+        "late",
+        "endless",
+        "shed",
+    )
     balancer_faults: tuple[str, ...] = ("kill", "pause", "stop", "reload")
     store_faults: tuple[str, ...] = ("down", "reset", "silent", "slow", "lossy", "compact", "stale")
     whole_service_share: float = 0.25
--- a/standins/deployment/upstream.py
+++ b/standins/deployment/upstream.py
@@ -17,7 +17,17 @@
 # Bytes missing at the end of a truncated response.
 TRUNCATED_BYTES = 3
 # Probability that a fault affects a response.
-FAULT_PROBABILITIES = {"errors": 0.5, "lose": 0.3, "cut": 0.3, "extra": 0.3, "late": 0.3}
+FAULT_PROBABILITIES = {
+    "errors": 0.5,
+    "lose": 0.3,
+    "cut": 0.3,
+    "extra": 0.3,
+    "late": 0.3,
+    "endless": 0.3,
+}
+# Bytes that are sent at a time and the pause after them in seconds, without end.
+ENDLESS_BYTES = 16 * 1024
+ENDLESS_PAUSE_S = 0.005
 
 
 @dataclasses.dataclass
@@ -48,7 +58,8 @@
     :ivar fault: ``None``, ``"slow"``, ``"errors"`` (responds with 500), ``"lose"`` (runs the
         request and resets the connection), ``"cut"`` (truncates responses), ``"extra"`` (sends a
         response twice), ``"late"`` (sends a second copy ahead of the next response on the
-        connection) or ``"shed"`` (refuses every request).
+        connection), ``"endless"`` (sends a head or body without end) or ``"shed"`` (refuses every
+        request).
     """
 
     def __init__(self, id_: str, service: str, ledger: Ledger, rng: random.Random) -> None:
@@ -115,6 +126,9 @@
         if connection.disconnected:
             return 0, [], b""
         signed_headers = [*echo_headers, (b"x-server-signature", self.id.encode())]
+        if self.fault == "endless" and self._rng.random() < FAULT_PROBABILITIES["endless"]:
+            await self._send_without_end(signed_headers, connection)
+            return 0, [], b""
         body = f"{request_id} {self.service} {len(data)}".encode()
         return self._response(request_id, signed_headers, body, connection)
 
@@ -144,3 +158,15 @@
                 self._delayed_responses[connection] = full_response + body
         self._ledger.responded.add(request_id)
         return 200, headers, body
+
+    async def _send_without_end(self, headers: list, connection: caller.Connection) -> None:
+        """Send a head, chunk framing or a body without end until the connection is closed."""
+        head = message.format_head(message.status_line(200), headers)
+        chunked = (b"transfer-encoding", b"chunked")
+        chunked_head = message.format_head(message.status_line(200), [*headers, chunked])
+        starts = (head[:-2] + b"x: ", chunked_head + b"1;", head, b"HTTP/1.1 200 OK\r\n\r\n")
+        connection.write(self._rng.choice(starts))
+        while not connection.disconnected:
+            connection.write(b"x" * ENDLESS_BYTES)
+            await connection.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
