Unpack the frames of a peer one at a time

What callers see: nothing from a sound peer. One that sends large compressed frames back to back takes a balancer over its memory limit.

Cause: split unpacked all frames of a read before the first was decoded, and a frame of 16 KB may unpack to 16 MB.

Change: split yields each frame as it is unpacked. A frame ahead of a malformed one is now delivered before the link is closed.

Not covered: a peer may still send sound frames without end; links are open to our own balancers only, and each frame is handled as it comes.

--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -6,6 +6,7 @@
 """
 
 import zlib
+from collections.abc import Iterator
 
 import msgspec
 
@@ -194,12 +195,11 @@
     return _decoder.decode(data)
 
 
-def split(buffer: bytearray) -> list[bytes]:
-    """Remove and return the complete frames at the start of a buffer.
+def split(buffer: bytearray) -> Iterator[bytes]:
+    """Remove and yield the complete frames at the start of a buffer, one at a time.
 
     :raises ValueError: a frame exceeds :data:`MAX_FRAME_BYTES` or cannot be decompressed.
     """
-    found = []
     while len(buffer) >= LENGTH_BYTES:
         field = int.from_bytes(buffer[:LENGTH_BYTES], "big")
         size = field & ~COMPRESSED
@@ -209,9 +209,8 @@
         if len(buffer) < end:
             break
         data = bytes(buffer[LENGTH_BYTES:end])
-        found.append(_unpack(data) if field & COMPRESSED else data)
         del buffer[:end]
-    return found
+        yield _unpack(data) if field & COMPRESSED else data
 
 
 def _unpack(data: bytes) -> bytes:
--- a/waxwingspool/fleet/tests/test_link.py
+++ b/waxwingspool/fleet/tests/test_link.py
@@ -1,9 +1,9 @@
-"""Backoff of suspected peers."""
+"""Backoff of suspected peers, and the memory that frames of a peer take."""
 
 import unittest
 from unittest import mock
 
-from waxwingspool.fleet import link
+from waxwingspool.fleet import frames, link
 from waxwingspool.fleet.tests import test_tables
 
 PEER = "10.0.0.2"
@@ -29,3 +29,14 @@
         self.links.suspect(PEER, "no reply")
         self.now += link.MIN_BACKOFF_S
         self.assertFalse(self.links.available(PEER))
+
+
+class FrameTest(unittest.TestCase):
+    def test_frames_of_one_read_are_unpacked_one_at_a_time(self) -> None:
+        rows = frames.Rows("op", None, 1, [("a", 1, bytes(frames.MAX_FRAME_BYTES // 2))])
+        encoded = frames.encode(rows)
+        with mock.patch.object(frames, "_unpack", wraps=frames._unpack) as unpack:
+            for count, frame in enumerate(frames.split(bytearray(encoded * 5)), start=1):
+                self.assertEqual(unpack.call_count, count)
+                self.assertEqual(frames.decode(frame), rows)
+        self.assertEqual(count, 5)
