Forward a new version of a table also when no row has changed

What callers see: 404 for routes that were accepted long ago, on calm VMs, when the configuration is large.

Cause: the version of a table is that of the whole store, so an empty response of the feed raises it whenever another table has changed. The reader then sent only its ages, with the higher version. To each follower that looked like missed changes: it requested a listing, and the reader encoded, compressed and sent the whole configuration once to each follower, for every feed call (0.9 s). A new configuration waited in the reader's processor and link behind these listings. The members' table had the same gap, closed by one listing for each VM at the next change.

Evidence: fleet/tests/model.py plays 69 balancers of a region (4 links of 100 Mbit/s, 65 of 5) on virtual time with the product's own copies, links and frames; a row of another table changes every 0.7 s. Encoding is assumed at 80 MB/s (177 MB/s measured on a whole idle core).

Change: the advance itself is sent as a frame without rows, 20 bytes, before the ages.

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -412,9 +412,11 @@
             return
         encoded = [(row.key, row.version, row.value) for row in rows]
         after = None if complete else previous_version
+        version = self._copies[table].version
         data = b""
-        if encoded or complete:
-            version = self._copies[table].version
+        # The version is that of the whole store, so it also increases without changes here. Without
+        # a frame, subscribers would seem to have missed changes and request a listing.
+        if version > previous_version or complete:
             data = frames.encode(frames.Rows(table, after, version, encoded))
         if table != members.TABLE:
             data += frames.encode(self._table_ages())
--- /dev/null
+++ b/waxwingspool/fleet/tests/test_propagation.py
@@ -0,0 +1,23 @@
+"""The way of a configuration from the store to all balancers of a region, on virtual time."""
+
+import unittest
+
+from waxwingspool.fleet import frames
+from waxwingspool.fleet.tests import model
+
+ROUTES = 2000
+
+
+class PropagationTest(unittest.TestCase):
+    def start(self, **sizes: int) -> model.Region:
+        region = model.Region(routes=ROUTES, **sizes)
+        self.addCleanup(region.close)
+        return region
+
+    def test_unchanged_configuration_is_not_sent_again(self) -> None:
+        region = self.start()
+        listing = frames.Rows("op", None, 1, [("config", 1, model.configuration(ROUTES))])
+        size = len(frames.encode(listing)) * len(region.balancers)
+        before = region.peer_bytes
+        region.loop.advance(5.0)
+        self.assertLess(region.peer_bytes - before, size / 5)
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -218,6 +218,19 @@
         self.tables.receive_table_ages(peer_link, frames.TableAges({"op": (9, 0.1)}))
         peer_link.send.assert_called_once_with(frames.ListingRequest("op"))
 
+    async def test_version_without_changes_reaches_subscribers_without_a_listing(self) -> None:
+        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+            self.tables._select_reader()
+        subscriber = mock.Mock()
+        self.receive("op", None, 4, ("config", 4, b"x"))
+        self.tables._subscribers.add(subscriber)
+        self.tables._merge_rows("op", (), 9, False)
+        sent = bytearray(subscriber.send_encoded.call_args.args[0])
+        first, second = (frames.decode(data) for data in frames.split(sent))
+        self.assertEqual(frames.Rows("op", 4, 9, []), first)
+        self.assertEqual(9, second.ages["op"][0])
+
     async def test_reading_continues_after_failed_calls(self) -> None:
         self.tables._start_reading()
         await asyncio.sleep(0)
