Keep reading the store until a reader has delivered fresh rows

What callers see: 404 for routes that were accepted for more than 2.5 s, on calm VMs, after the readers of their region went silent together (power, freeze, a cut). With all four it lasted for over 8 s.

Cause: a balancer without a reader reads the store directly. As soon as the backoff of a dead peer ended, that peer was chosen again, and choosing it cancelled the direct reads although it had delivered nothing. The connection failed 0.35 s later, the reads started anew, and the next backoff cancelled them. A failed connection did not count as a failover, so the rule that keeps direct reads after two failovers did not apply. And a reader that called itself fresh reset the count before its rows had arrived.

Change: direct reads end when the reader chosen last has delivered rows that are fresh here; a failed connection counts as a failover. Rows that are still fresh start no direct read, so that a planned stop of readers costs no calls.

Nothing changes while the first or second reader works.

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -114,6 +114,8 @@
         self._followed_since = 0.0
         self._follow_until = 0.0
         self._failovers = 0
+        # Whether the reader has delivered fresh rows since it was chosen.
+        self._reader_is_fresh = False
         self._subscribe_task: asyncio.Future | None = None
 
     @property
@@ -197,8 +199,6 @@
         """Adopt the ages of the reader's tables; request listings of those that are newer."""
         if peer_link.peer != self._reader:
             return
-        if all(age_s < MAX_AGE_S for _, age_s in frame.ages.values()):
-            self._failovers = 0
         now = time.monotonic()
         for table, (version, age_s) in frame.ages.items():
             copy = self._copies.get(table)
@@ -208,6 +208,9 @@
                 peer_link.send(frames.ListingRequest(table))
             else:
                 self._mark_fresh(copy, now - age_s)
+        if self.age_s < MAX_AGE_S and all(age_s < MAX_AGE_S for _, age_s in frame.ages.values()):
+            self._failovers = 0
+            self._reader_is_fresh = True
 
     def handle_lost_link(self, peer_link: link.Link) -> None:
         """Remove a peer whose link has closed as subscriber and as reader."""
@@ -246,9 +249,9 @@
         waited_s = now - self._followed_since
         if self._reader is None or self._subscribers or min(waited_s, self.age_s) > MAX_AGE_S:
             self._start_reading()
-        elif self._failovers >= FAILOVERS_BEFORE_DIRECT_READ:
+        elif self._failovers >= FAILOVERS_BEFORE_DIRECT_READ and self.age_s > MAX_AGE_S:
             self._read_directly()
-        else:
+        elif self._reader_is_fresh:
             self._stop_reading()
 
     def _read_directly(self) -> None:
@@ -281,6 +284,7 @@
     def _follow(self, reader: str) -> None:
         self._unfollow()
         self._reader = reader
+        self._reader_is_fresh = False
         self._followed_since = time.monotonic()
         self._follow_until = self._followed_since + self._rng.uniform(MIN_FOLLOW_S, MAX_FOLLOW_S)
         eventlog.event("reader.chosen", reader=reader, age_s=self.age_s)
@@ -293,6 +297,7 @@
         except exceptions.PeerUnavailable:
             if self._reader == reader:
                 self._reader = None
+                self._failovers += 1
             return
         if self._reader == reader:
             peer_link.send(frames.Subscribe(self.versions()))
--- a/waxwingspool/fleet/tests/test_propagation.py
+++ b/waxwingspool/fleet/tests/test_propagation.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from waxwingspool.catalog import node
 from waxwingspool.fleet import frames
 from waxwingspool.fleet.tests import model
 
@@ -21,3 +22,15 @@
         before = region.peer_bytes
         region.loop.advance(5.0)
         self.assertLess(region.peer_bytes - before, size / 5)
+
+    def test_configuration_is_in_force_in_time_after_two_readers_are_cut_off(self) -> None:
+        self.check_in_force_after_readers_are_cut_off(2)
+
+    def test_configuration_is_in_force_in_time_after_all_readers_are_cut_off(self) -> None:
+        self.check_in_force_after_readers_are_cut_off(4)
+
+    def check_in_force_after_readers_are_cut_off(self, count: int) -> None:
+        region = self.start()
+        for balancer in region.readers[:count]:
+            balancer.cut = True
+        self.assertLess(region.apply_configuration(ROUTES + 1500), node.Bounds().config_apply_s)
