Take the age of rows from a peer as told, and none from outdated rows

What callers see: an old configuration for up to 1.5 s longer, at a balancer that subscribes to a reader which has itself lost the store.

Cause: rows from a peer, and responses older than what is held, marked the copy fresh at the time of receipt. A listing of a peer that was last confirmed seconds ago started the 1.5 s anew, and the ages told right after it could not correct that, since the newer time is kept. Found by reading.

Change: a frame with rows tells how long ago the store confirmed them; rows older than the copy say nothing about its age. The age is part of the frame, not of the frame of ages after it, so that the end of an outage is noticed before the removals that it delays are applied.

Cost: 9 bytes for each frame with rows; calls unchanged.

Not shown: late answers by this alone.

--- a/standins/deployment/planted.py
+++ b/standins/deployment/planted.py
@@ -87,10 +87,10 @@
         self._table = None
         original_update_configuration(self, rows)
 
-    def accept_any_rows(self, table, rows, version, complete) -> None:
+    def accept_any_rows(self, table, rows, version, complete, confirmed_at) -> None:
         if complete:
             self._copies[table].version = -1
-        original_merge_rows(self, table, rows, version, complete)
+        original_merge_rows(self, table, rows, version, complete, confirmed_at)
 
     view.View._update_configuration = accept_any_configuration
     tables.TableCopies._merge_rows = accept_any_rows
--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -117,12 +117,14 @@
     """Rows of a table as key, version and value; the value of a deleted row is ``None``.
 
     ``after`` is the version of the table before these changes, ``None`` for a complete listing.
+    ``age_s`` is the time in seconds since the store confirmed this version to the sender.
     """
 
     table: str
     after: int | None
     version: int
     rows: list[tuple[str, int, bytes | None]]
+    age_s: float = 0.0
 
 
 class TableAges(msgspec.Struct, array_like=True, tag=9):
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -192,7 +192,8 @@
         rows = tuple(store.Row(key, value, version) for key, version, value in frame.rows)
         if frame.after is not None and frame.after > copy.version:
             return True
-        self._merge_rows(frame.table, rows, frame.version, frame.after is None)
+        confirmed_at = time.monotonic() - frame.age_s
+        self._merge_rows(frame.table, rows, frame.version, frame.after is None, confirmed_at)
         return False
 
     def receive_table_ages(self, peer_link: link.Link, frame: frames.TableAges) -> None:
@@ -227,7 +228,7 @@
         except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
             eventlog.event("members.not-listed", error=error)
             return
-        self._merge_rows(members.TABLE, page.rows, page.version, True)
+        self._merge_rows(members.TABLE, page.rows, page.version, True, time.monotonic())
 
     def _select_reader(self) -> None:
         """Follow the preferred reader, or read the store directly."""
@@ -355,24 +356,30 @@
             failures = 0
             complete = copy.version < 0 or relist
             relisted, relist = relist, False
-            self._merge_rows(table, page.rows, page.version, complete)
+            self._merge_rows(table, page.rows, page.version, complete, time.monotonic())
             if page.rows:
                 await asyncio.sleep(BATCH_DELAY_S)
 
     # Applying rows
 
     def _merge_rows(
-        self, table: str, rows: tuple[store.Row, ...], version: int, complete: bool
+        self,
+        table: str,
+        rows: tuple[store.Row, ...],
+        version: int,
+        complete: bool,
+        confirmed_at: float,
     ) -> None:
         """Merge rows into a copy, and pass the changes to ``on_rows`` and to subscribers.
 
         :param version: version of the store up to which the rows contain all changes.
         :param complete: whether the rows are the complete table and replace the copy.
+        :param confirmed_at: monotonic time in seconds at which the store confirmed the version.
         """
         copy = self._copies[table]
-        self._mark_fresh(copy, time.monotonic())
         if version < copy.version:
             return
+        self._mark_fresh(copy, confirmed_at)
         previous_version = copy.version
         if complete:
             listed = {row.key: row for row in rows if row.value is not None}
@@ -417,12 +424,13 @@
             return
         encoded = [(row.key, row.version, row.value) for row in rows]
         after = None if complete else previous_version
-        version = self._copies[table].version
+        copy = self._copies[table]
         data = b""
         # The version is that of the whole store, so it also increases without changes here. Without
         # a frame, subscribers would seem to have missed changes and request a listing.
-        if version > previous_version or complete:
-            data = frames.encode(frames.Rows(table, after, version, encoded))
+        if copy.version > previous_version or complete:
+            age_s = time.monotonic() - copy.fresh_at
+            data = frames.encode(frames.Rows(table, after, copy.version, encoded, age_s))
         if table != members.TABLE:
             data += frames.encode(self._table_ages())
         for peer_link in self._subscribers:
@@ -433,7 +441,8 @@
         if copy.version < 0:
             return
         rows = [(row.key, row.version, row.value) for row in copy.rows.values()]
-        peer_link.send(frames.Rows(table, None, copy.version, rows))
+        age_s = time.monotonic() - copy.fresh_at
+        peer_link.send(frames.Rows(table, None, copy.version, rows, age_s))
 
     def _table_ages(self) -> frames.TableAges:
         now = time.monotonic()
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -102,6 +102,20 @@
         self.receive("op", None, 9, ("config", 9, b"old"))
         self.on_rows.assert_not_called()
 
+    async def test_rows_from_a_stale_peer_are_as_old_as_at_the_peer(self) -> None:
+        for table in ("op", "servers"):
+            rows = [("config", 10, b"x")]
+            self.tables.receive_rows(frames.Rows(table, None, 10, rows, 1.2))
+        self.assertAlmostEqual(1.2, self.tables.age_s)
+
+    async def test_outdated_rows_do_not_refresh_the_copy(self) -> None:
+        for table in ("op", "servers"):
+            self.receive(table, None, 10)
+        self.now += 5
+        for table in ("op", "servers"):
+            self.receive(table, None, 9)
+        self.assertAlmostEqual(5, self.tables.age_s)
+
     async def test_feed_relists_after_history_is_gone(self) -> None:
         self.tables._start_reading()
         await asyncio.sleep(0)
@@ -225,7 +239,7 @@
         subscriber = mock.Mock()
         self.receive("op", None, 4, ("config", 4, b"x"))
         self.tables._subscribers.add(subscriber)
-        self.tables._merge_rows("op", (), 9, False)
+        self.tables._merge_rows("op", (), 9, False, self.now)
         sent = bytearray(subscriber.send_encoded.call_args.args[0])
         first, second = (frames.decode(data) for data in frames.split(sent))
         self.assertEqual(frames.Rows("op", 4, 9, []), first)
