Send a new subscriber the changes that it has missed instead of whole tables

Cause: the version of a table is that of the whole store, so a balancer that changes its reader is nearly always behind the next one by a few versions without changes. It was then sent the whole configuration, encoded and compressed anew for each subscriber, at the moment when a failover has to be short.

Change: a copy keeps the versions of the rows that were deleted since its last listing (at most 1,000), so a reader can send exactly what changed after the subscriber's version. Without that knowledge it sends a listing as before.

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -58,6 +58,9 @@
 # seconds; also the shortest time between two reports of a recovery.
 MIN_OUTAGE_S = 2.0
 
+# Maximum number of deleted rows that a copy remembers in order to forward them to new subscribers.
+MAX_DELETIONS = 1000
+
 # Called with a table, its new rows, and whether they are the complete table.
 OnRows = Callable[[str, Iterable[store.Row], bool], None]
 
@@ -69,11 +72,49 @@
     :ivar version: version of the store up to which all changes are included; -1 before the first
         listing.
     :ivar fresh_at: monotonic time in seconds at which the store last confirmed the copy.
+    :ivar deletions: versions of the rows that were deleted after ``deletions_since``.
     """
 
     version: int = -1
     fresh_at: float = float("-inf")
     rows: dict[str, store.Row] = dataclasses.field(default_factory=dict)
+    deletions: dict[str, int] = dataclasses.field(default_factory=dict)
+    deletions_since: int = 0
+
+    def changes_after(self, version: int) -> list[store.Row] | None:
+        """Return all changes after a version, ``None`` if they are no longer known."""
+        if version < self.deletions_since:
+            return None
+        changed = [row for row in self.rows.values() if row.version > version]
+        deleted = [
+            store.Row(key, None, deleted_in)
+            for key, deleted_in in self.deletions.items()
+            if deleted_in > version
+        ]
+        return changed + deleted
+
+    def replace(self, rows: dict[str, store.Row], version: int) -> None:
+        """Replace the copy by a complete listing."""
+        self.rows = rows
+        self.version = version
+        self._forget_deletions()
+
+    def apply(self, changes: Iterable[store.Row], version: int) -> None:
+        """Apply all changes up to a version."""
+        self.version = version
+        for row in changes:
+            if row.value is None:
+                self.rows.pop(row.key, None)
+                self.deletions[row.key] = row.version
+            else:
+                self.rows[row.key] = row
+                self.deletions.pop(row.key, None)
+        if len(self.deletions) > MAX_DELETIONS:
+            self._forget_deletions()
+
+    def _forget_deletions(self) -> None:
+        self.deletions.clear()
+        self.deletions_since = self.version
 
 
 class TableCopies:
@@ -171,7 +212,7 @@
                 self.receive_table_ages(peer_link, frame)
 
     def add_subscriber(self, peer_link: link.Link, versions: dict[str, int]) -> None:
-        """Forward rows to a peer from now on, first complete listings of its outdated tables.
+        """Forward rows to a peer from now on, first the changes that it has missed.
 
         :param versions: version of each table that the peer has.
         """
@@ -180,7 +221,7 @@
         self._subscribers.add(peer_link)
         for table, copy in self._copies.items():
             if versions.get(table, -1) < copy.version:
-                self._send_listing(peer_link, table)
+                self._send_changes(peer_link, table, versions.get(table, -1))
         peer_link.send(self._table_ages())
         self._start_reading()
 
@@ -384,17 +425,12 @@
         if complete:
             listed = {row.key: row for row in rows if row.value is not None}
             changed = listed != copy.rows or previous_version < 0
-            copy.rows = listed
+            copy.replace(listed, version)
             updates: Iterable[store.Row] = listed.values()
         else:
             updates = [row for row in rows if row.version > previous_version]
             changed = bool(updates)
-            for row in updates:
-                if row.value is None:
-                    copy.rows.pop(row.key, None)
-                else:
-                    copy.rows[row.key] = row
-        copy.version = version
+            copy.apply(updates, version)
         if changed:
             self._on_rows(table, updates, complete)
         self._broadcast_rows(
@@ -437,12 +473,25 @@
             peer_link.send_encoded(data)
 
     def _send_listing(self, peer_link: link.Link, table: str) -> None:
+        self._send_rows(peer_link, table, None, self._copies[table].rows.values())
+
+    def _send_changes(self, peer_link: link.Link, table: str, after: int) -> None:
+        """Send the changes after a version, or a complete listing if they are not known."""
+        changes = self._copies[table].changes_after(after)
+        if changes is None:
+            self._send_listing(peer_link, table)
+        else:
+            self._send_rows(peer_link, table, after, changes)
+
+    def _send_rows(
+        self, peer_link: link.Link, table: str, after: int | None, rows: Iterable[store.Row]
+    ) -> None:
         copy = self._copies[table]
         if copy.version < 0:
             return
-        rows = [(row.key, row.version, row.value) for row in copy.rows.values()]
+        encoded = [(row.key, row.version, row.value) for row in rows]
         age_s = time.monotonic() - copy.fresh_at
-        peer_link.send(frames.Rows(table, None, copy.version, rows, age_s))
+        peer_link.send(frames.Rows(table, after, copy.version, encoded, age_s))
 
     def _table_ages(self) -> frames.TableAges:
         now = time.monotonic()
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -245,6 +245,35 @@
         self.assertEqual(frames.Rows("op", 4, 9, []), first)
         self.assertEqual(9, second.ages["op"][0])
 
+    def subscribe(self, version: int) -> frames.Rows:
+        """Return what a subscriber with a version of table ``op`` is sent of it."""
+        subscriber = mock.Mock()
+        self.tables.add_subscriber(subscriber, {"op": version})
+        self.tables._stop_reading()
+        sent = [call.args[0] for call in subscriber.send.call_args_list]
+        return next(f for f in sent if isinstance(f, frames.Rows) and f.table == "op")
+
+    async def test_new_subscriber_is_sent_only_the_changes_that_it_has_missed(self) -> None:
+        self.receive("op", None, 4, ("config", 3, b"c"), ("other", 4, b"x"))
+        self.receive("op", 4, 9, ("other", 6, None), ("new", 8, b"y"))
+        sent = self.subscribe(4)
+        self.assertEqual((4, 9), (sent.after, sent.version))
+        self.assertEqual([("new", 8, b"y"), ("other", 6, None)], sent.rows)
+
+    async def test_new_subscriber_is_sent_a_listing_if_deletions_are_not_known(self) -> None:
+        self.receive("op", None, 4, ("config", 3, b"c"))
+        self.assertIsNone(self.subscribe(3).after)
+        with mock.patch.object(tables, "MAX_DELETIONS", 1):
+            self.receive("op", 4, 9, ("a", 6, None), ("b", 8, None))
+        self.assertIsNone(self.subscribe(8).after)
+        self.assertEqual(9, self.tables._copies["op"].deletions_since)
+
+    async def test_row_that_returns_after_its_deletion_is_no_deletion(self) -> None:
+        self.receive("op", None, 4, ("config", 3, b"c"))
+        self.receive("op", 4, 6, ("config", 6, None))
+        self.receive("op", 6, 8, ("config", 8, b"d"))
+        self.assertEqual([("config", 8, b"d")], self.subscribe(4).rows)
+
     async def test_reading_continues_after_failed_calls(self) -> None:
         self.tables._start_reading()
         await asyncio.sleep(0)
