Keep a reader for 0.5 s longer while its frame is arriving

What callers see: 404 on calm VMs for routes that were accepted up to 4.8 s ago, after the store refused the first two readers of their region (the store turns a third of the VMs away) while the configuration grew.

Cause: after a failover the next reader had 0.4 s to deliver fresh rows. A reader shares 100 Mbit/s among 69 followers: a configuration of 3,500 to 5,500 routes takes 0.5 to 0.7 s. All followers dropped it in the middle of the listing, took the next one, which sent the same bytes again and was dropped too, and read the store directly besides.

Change: a link knows whether a frame has been received in part and its bytes still arrive (pause under 0.25 s); meanwhile both limits on a reader, 1.5 s of age and 0.4 s after a failover, are 0.5 s longer, for once. A reader that says nothing, or only that its rows are old, has no more time than before. The three figures are chosen.

--- a/waxwingspool/fleet/link.py
+++ b/waxwingspool/fleet/link.py
@@ -23,6 +23,8 @@
 # Timeout for connecting to a peer, in seconds: two round trips between regions and the
 # retransmission of one lost packet.
 CONNECT_TIMEOUT_S = 0.35
+# Longest pause, in seconds, within a frame that is still being received: one lost packet.
+RECEIVE_PAUSE_S = 0.25
 # Shortest and longest time for which a suspected peer is not used, in seconds.
 MIN_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 4.0
@@ -49,6 +51,7 @@
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._buffer = bytearray()
+        self._received_at = float("-inf")
         self._transport: asyncio.Transport | None = None
 
     @property
@@ -56,12 +59,18 @@
         """Whether frames can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a frame has been received in part and its bytes still arrive."""
+        return bool(self._buffer) and time.monotonic() - self._received_at < RECEIVE_PAUSE_S
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
         _set_keepalive(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         self._buffer += data
+        self._received_at = time.monotonic()
         try:
             for encoded in frames.split(self._buffer):
                 self._deliver(frames.decode(encoded))
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -36,6 +36,9 @@
 # connection, call the store from another region and forward the rows. Two readers and a direct read
 # fit into the shortest time within which a configuration must be in force.
 FAILOVER_TIMEOUT_S = 0.4
+# Time in seconds by which these two are extended while a frame of the reader is arriving: a large
+# configuration, sent to all balancers of a region at once. A failover would send it once more.
+RECEIVE_EXTENSION_S = 0.5
 # Consecutive failovers from readers without fresh rows, after which a balancer also reads the store
 # directly.
 FAILOVERS_BEFORE_DIRECT_READ = 2
@@ -275,8 +278,10 @@
         """Follow the preferred reader, or read the store directly."""
         now = time.monotonic()
         own_ip = self._settings.ip
-        timeout_s = FAILOVER_TIMEOUT_S if self._failovers else MAX_AGE_S
-        stale = self.age_s > MAX_AGE_S and now - self._followed_since > timeout_s
+        extension_s = RECEIVE_EXTENSION_S if self._is_receiving() else 0.0
+        max_age_s = MAX_AGE_S + extension_s
+        timeout_s = (FAILOVER_TIMEOUT_S if self._failovers else MAX_AGE_S) + extension_s
+        stale = self.age_s > max_age_s and now - self._followed_since > timeout_s
         if self._reader is not None and stale:
             self._links.suspect(self._reader, f"rows are {self.age_s:.2f} s old")
             self._failovers += 1
@@ -289,13 +294,18 @@
         ):
             self._follow(candidate)
         waited_s = now - self._followed_since
-        if self._reader is None or self._subscribers or min(waited_s, self.age_s) > MAX_AGE_S:
+        if self._reader is None or self._subscribers or min(waited_s, self.age_s) > max_age_s:
             self._start_reading()
         elif self._failovers >= FAILOVERS_BEFORE_DIRECT_READ and self.age_s > MAX_AGE_S:
             self._read_directly()
         elif self._reader_is_fresh:
             self._stop_reading()
 
+    def _is_receiving(self) -> bool:
+        """Return whether a frame of the reader is arriving."""
+        peer_link = None if self._reader is None else self._links.get(self._reader)
+        return peer_link is not None and peer_link.receiving
+
     def _read_directly(self) -> None:
         """Read the store directly until a reader has fresh rows.
 
--- a/waxwingspool/fleet/tests/test_propagation.py
+++ b/waxwingspool/fleet/tests/test_propagation.py
@@ -34,3 +34,9 @@
         for balancer in region.readers[:count]:
             balancer.cut = True
         self.assertLess(region.apply_configuration(ROUTES + 1500), node.Bounds().config_apply_s)
+
+    def test_configuration_is_in_force_in_time_after_the_store_refuses_two_readers(self) -> None:
+        region = self.start()
+        for balancer in region.readers[:2]:
+            balancer.store_refuses = True
+        self.assertLess(region.apply_configuration(ROUTES + 1500), node.Bounds().config_apply_s)
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -73,6 +73,7 @@
         self.client = FakeStoreClient()
         self.links = mock.Mock()
         self.links.available.return_value = True
+        self.links.get.return_value = mock.Mock(receiving=False)
         self.links.get_or_connect = mock.AsyncMock(return_value=mock.Mock())
         self.on_rows = mock.Mock()
         self.on_recovery = mock.Mock()
@@ -194,6 +195,22 @@
         self.assertLess(self.now - changed_at, node.Bounds().config_apply_s - 0.2)
         self.tables._stop_reading()
 
+    async def test_reader_is_suspected_only_later_while_its_frame_arrives(self) -> None:
+        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        self.links.get.return_value.receiving = True
+        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+            for table in ("op", "servers"):
+                self.receive(table, None, 4)
+            self.tables._select_reader()
+            self.now += tables.MAX_AGE_S + tables.RECEIVE_EXTENSION_S - 0.1
+            self.tables._select_reader()
+            self.links.suspect.assert_not_called()
+            self.assertFalse(self.tables.is_reading)
+            self.now += 0.2
+            self.tables._select_reader()
+        self.links.suspect.assert_called_once()
+        self.tables._stop_reading()
+
     async def test_direct_reads_continue_until_a_reader_is_fresh(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
         peer_link = mock.Mock(peer=READER_IP)
