Log from whom a configuration came, how old it was, and when the store is read directly

Cause: `configuration.in-force` did not say whether the version came from the store or through which reader, nor how old the rows were on arrival; and no line told when a balancer began or ended to read the store for itself. So a late configuration could be seen in the log, but not why it was late.

Change: new rows reach the view as one update with source and age, and `configuration.in-force` has both (`source=store` or the peer's address, `age_s`: time since the store confirmed the rows). `store.reading-started` (reader, subscribers, failovers, age) and `store.reading-stopped` mark a change only. The planted faults of the soak take the new arguments; what they break is the same.

Cost: no calls and no bytes between VMs.

--- a/standins/deployment/planted.py
+++ b/standins/deployment/planted.py
@@ -83,14 +83,14 @@
         tables.TableCopies._merge_rows,
     )
 
-    def accept_any_configuration(self, rows) -> None:
+    def accept_any_configuration(self, update) -> None:
         self._table = None
-        original_update_configuration(self, rows)
+        original_update_configuration(self, update)
 
-    def accept_any_rows(self, table, rows, version, complete, confirmed_at) -> None:
+    def accept_any_rows(self, table, page, complete, source, confirmed_at) -> None:
         if complete:
             self._copies[table].version = -1
-        original_merge_rows(self, table, rows, version, complete, confirmed_at)
+        original_merge_rows(self, table, page, complete, source, confirmed_at)
 
     view.View._update_configuration = accept_any_configuration
     tables.TableCopies._merge_rows = accept_any_rows
@@ -99,9 +99,9 @@
 def _keep_first_configuration() -> None:
     original_update_configuration = view.View._update_configuration
 
-    def accept_first_configuration(self, rows) -> None:
+    def accept_first_configuration(self, update) -> None:
         if self._table is None:
-            original_update_configuration(self, rows)
+            original_update_configuration(self, update)
 
     view.View._update_configuration = accept_first_configuration
 
--- a/waxwingspool/edge/view.py
+++ b/waxwingspool/edge/view.py
@@ -5,7 +5,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node, routes, upstreams
-from waxwingspool.fleet import members
+from waxwingspool.fleet import members, tables
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import configuration, registration, store
 
@@ -53,17 +53,14 @@
         """Number of upstreams that may receive requests."""
         return len(self._usable_ids)
 
-    def update(self, table: str, rows: Iterable[store.Row], complete: bool) -> None:
-        """Apply rows of a table.
-
-        :param complete: whether ``rows`` is a complete listing of the table.
-        """
-        if table == configuration.TABLE:
-            self._update_configuration(rows)
-        elif table == registration.TABLE:
-            self._update_upstreams(rows, complete)
+    def update(self, update: tables.Update) -> None:
+        """Apply new rows of a table."""
+        if update.table == configuration.TABLE:
+            self._update_configuration(update)
+        elif update.table == registration.TABLE:
+            self._update_upstreams(update.rows, update.complete)
         else:
-            self._update_members(rows)
+            self._update_members(update.rows)
 
     def record_store_recovery(self) -> None:
         """Record that the store has recovered from an outage."""
@@ -77,9 +74,9 @@
         if len(self._registry.upstreams) != count:
             self._publish_upstreams()
 
-    def _update_configuration(self, rows: Iterable[store.Row]) -> None:
+    def _update_configuration(self, update: tables.Update) -> None:
         """Apply the newest configuration; an older version never replaces a newer one."""
-        for row in rows:
+        for row in update.rows:
             if row.key != configuration.KEY or row.value is None:
                 continue
             try:
@@ -99,6 +96,8 @@
                 before=current,
                 row=row.version,
                 routes=route_count,
+                source=update.source,
+                age_s=update.age_s,
             )
             self._on_routes()
 
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -21,7 +21,7 @@
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import store
 
-__all__ = ["TableCopies", "OnRows"]
+__all__ = ["STORE", "OnRows", "TableCopies", "Update"]
 
 # Time that a feed call waits for changes, in seconds. A shorter time detects a dead connection
 # sooner, but each call to the store is billed.
@@ -64,8 +64,27 @@
 # Maximum number of deleted rows that a copy remembers in order to forward them to new subscribers.
 MAX_DELETIONS = 1000
 
-# Called with a table, its new rows, and whether they are the complete table.
-OnRows = Callable[[str, Iterable[store.Row], bool], None]
+# Source of rows that were read from the store; otherwise it is the address of a peer.
+STORE = "store"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Update:
+    """New rows of a table.
+
+    :ivar complete: whether the rows are the complete table.
+    :ivar source: :data:`STORE`, or the address of the peer that sent the rows.
+    :ivar age_s: time in seconds since the store confirmed the rows.
+    """
+
+    table: str
+    rows: Iterable[store.Row]
+    complete: bool
+    source: str
+    age_s: float
+
+
+OnRows = Callable[[Update], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -207,7 +226,7 @@
                 self.add_subscriber(peer_link, frame.versions)
             case frames.Unsubscribe():
                 self._subscribers.discard(peer_link)
-            case frames.Rows() if self.receive_rows(frame):
+            case frames.Rows() if self.receive_rows(frame, peer_link.peer):
                 peer_link.send(frames.ListingRequest(frame.table))
             case frames.ListingRequest() if frame.table in self._copies:
                 self._send_listing(peer_link, frame.table)
@@ -228,7 +247,7 @@
         peer_link.send(self._table_ages())
         self._start_reading()
 
-    def receive_rows(self, frame: frames.Rows) -> bool:
+    def receive_rows(self, frame: frames.Rows, peer: str) -> bool:
         """Apply rows from a peer; return whether changes before them are missing."""
         copy = self._copies.get(frame.table)
         if copy is None:
@@ -237,7 +256,8 @@
         if frame.after is not None and frame.after > copy.version:
             return True
         confirmed_at = time.monotonic() - frame.age_s
-        self._merge_rows(frame.table, rows, frame.version, frame.after is None, confirmed_at)
+        page = store.Page(rows, frame.version, False)
+        self._merge_rows(frame.table, page, frame.after is None, peer, confirmed_at)
         return False
 
     def receive_table_ages(self, peer_link: link.Link, frame: frames.TableAges) -> None:
@@ -272,7 +292,7 @@
         except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
             eventlog.event("members.not-listed", error=error)
             return
-        self._merge_rows(members.TABLE, page.rows, page.version, True, time.monotonic())
+        self._merge_rows(members.TABLE, page, True, STORE, time.monotonic())
 
     def _select_reader(self) -> None:
         """Follow the preferred reader, or read the store directly."""
@@ -365,12 +385,22 @@
     # Reading the store
 
     def _start_reading(self, tables: Iterable[str] | None = None) -> None:
+        if not self._read_tasks:
+            eventlog.event(
+                "store.reading-started",
+                reader=self._reader,
+                subscribers=len(self._subscribers),
+                failovers=self._failovers,
+                age_s=self.age_s,
+            )
         for table in self._copies if tables is None else tables:
             if table not in self._read_tasks:
                 task = asyncio.create_task(self._read_feed(table), name=f"read {table}")
                 self._read_tasks[table] = task
 
     def _stop_reading(self) -> None:
+        if self._read_tasks:
+            eventlog.event("store.reading-stopped", reader=self._reader, age_s=self.age_s)
         for task in self._read_tasks.values():
             task.cancel()
         self._read_tasks.clear()
@@ -407,7 +437,7 @@
             failures = 0
             complete = copy.version < 0 or relist
             relisted, relist = relist, False
-            self._merge_rows(table, page.rows, page.version, complete, time.monotonic())
+            self._merge_rows(table, page, complete, STORE, time.monotonic())
             if page.rows:
                 await asyncio.sleep(BATCH_DELAY_S)
 
@@ -416,18 +446,20 @@
     def _merge_rows(
         self,
         table: str,
-        rows: tuple[store.Row, ...],
-        version: int,
+        page: store.Page,
         complete: bool,
+        source: str,
         confirmed_at: float,
     ) -> None:
         """Merge rows into a copy, and pass the changes to ``on_rows`` and to subscribers.
 
-        :param version: version of the store up to which the rows contain all changes.
+        :param page: all changes up to its version.
         :param complete: whether the rows are the complete table and replace the copy.
+        :param source: see :class:`Update`.
         :param confirmed_at: monotonic time in seconds at which the store confirmed the version.
         """
         copy = self._copies[table]
+        rows, version = page.rows, page.version
         if version < copy.version:
             return
         self._mark_fresh(copy, confirmed_at)
@@ -442,7 +474,8 @@
             changed = bool(updates)
             copy.apply(updates, version)
         if changed:
-            self._on_rows(table, updates, complete)
+            age_s = time.monotonic() - confirmed_at
+            self._on_rows(Update(table, updates, complete, source, age_s))
         self._broadcast_rows(
             table, previous_version, updates if changed else (), complete and changed
         )
--- a/waxwingspool/fleet/tests/model.py
+++ b/waxwingspool/fleet/tests/model.py
@@ -210,7 +210,7 @@
             self.links,
             membership,
             ("op", "servers"),
-            lambda table, rows, *_: self._apply(membership, table, rows),
+            lambda update: self._apply(membership, update.table, update.rows),
             mock.Mock(),
         )
         self._task = self._region.loop.create_task(self.tables.run())
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -89,7 +89,7 @@
         )
 
     def receive(self, table: str, after: int | None, version: int, *rows: tuple) -> bool:
-        return self.tables.receive_rows(frames.Rows(table, after, version, list(rows)))
+        return self.tables.receive_rows(frames.Rows(table, after, version, list(rows)), READER_IP)
 
     async def test_rows_after_a_gap_are_rejected(self) -> None:
         self.receive("op", None, 10, ("config", 10, b"one"))
@@ -106,9 +106,16 @@
     async def test_rows_from_a_stale_peer_are_as_old_as_at_the_peer(self) -> None:
         for table in ("op", "servers"):
             rows = [("config", 10, b"x")]
-            self.tables.receive_rows(frames.Rows(table, None, 10, rows, 1.2))
+            self.tables.receive_rows(frames.Rows(table, None, 10, rows, 1.2), READER_IP)
         self.assertAlmostEqual(1.2, self.tables.age_s)
 
+    async def test_source_and_age_of_new_rows_are_told(self) -> None:
+        rows = [("config", 10, b"x")]
+        self.tables.receive_rows(frames.Rows("op", None, 10, rows, 1.2), READER_IP)
+        update = self.on_rows.call_args.args[0]
+        self.assertEqual(("op", True, READER_IP), (update.table, update.complete, update.source))
+        self.assertAlmostEqual(1.2, update.age_s)
+
     async def test_outdated_rows_do_not_refresh_the_copy(self) -> None:
         for table in ("op", "servers"):
             self.receive(table, None, 10)
@@ -256,7 +263,7 @@
         subscriber = mock.Mock()
         self.receive("op", None, 4, ("config", 4, b"x"))
         self.tables._subscribers.add(subscriber)
-        self.tables._merge_rows("op", (), 9, False, self.now)
+        self.tables._merge_rows("op", store.Page((), 9, False), False, tables.STORE, self.now)
         sent = bytearray(subscriber.send_encoded.call_args.args[0])
         first, second = (frames.decode(data) for data in frames.split(sent))
         self.assertEqual(frames.Rows("op", 4, 9, []), first)
