Count the time that a reader's frames wait on their way as age

What callers see: 404 on calm VMs for routes that were accepted up to 3.7 s ago, while the link of their region's reader is squeezed to about what its frames need.

Cause: the age of rows was the age told by the reader, counted from the receipt of the frame. The time that a frame spent in the reader's write buffer or on a saturated link counted as fresh, so followers stayed with a reader whose frames arrived at a steady pace but ever later.

Change: frames with rows or ages carry the sender's monotonic time. A link keeps the shortest transit that it has seen, so that the unknown difference of the two clocks cancels, and what a frame took longer is added to its age. The shortest transit grows by 1 ms/s, so that clocks may drift. A reader that was frozen, whose clock stood still meanwhile, looks late by that time until its followers have changed to another; the next link starts anew.

--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -117,7 +117,8 @@
     """Rows of a table as key, version and value; the value of a deleted row is ``None``.
 
     ``after`` is the version of the table before these changes, ``None`` for a complete listing.
-    ``age_s`` is the time in seconds since the store confirmed this version to the sender.
+    ``age_s`` is the time in seconds since the store confirmed this version to the sender, and
+    ``sent_at`` the sender's monotonic time in seconds.
     """
 
     table: str
@@ -125,12 +126,17 @@
     version: int
     rows: list[tuple[str, int, bytes | None]]
     age_s: float = 0.0
+    sent_at: float | None = None
 
 
 class TableAges(msgspec.Struct, array_like=True, tag=9):
-    """Version and age in seconds of the sender's tables, except the members' table."""
+    """Version and age in seconds of the sender's tables, except the members' table.
+
+    ``sent_at`` is the sender's monotonic time in seconds.
+    """
 
     ages: dict[str, tuple[int, float]]
+    sent_at: float | None = None
 
 
 class Unsubscribe(msgspec.Struct, array_like=True, tag=10):
--- a/waxwingspool/fleet/link.py
+++ b/waxwingspool/fleet/link.py
@@ -25,6 +25,8 @@
 CONNECT_TIMEOUT_S = 0.35
 # Longest pause, in seconds, within a frame that is still being received: one lost packet.
 RECEIVE_PAUSE_S = 0.25
+# Largest difference in rate between the clocks of two VMs, in seconds per second.
+MAX_CLOCK_DRIFT = 0.001
 # Shortest and longest time for which a suspected peer is not used, in seconds.
 MIN_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 4.0
@@ -52,6 +54,10 @@
         self._on_lost = on_lost
         self._buffer = bytearray()
         self._received_at = float("-inf")
+        # Shortest time between sending and receipt of a frame, in seconds, plus the unknown
+        # difference of the two monotonic clocks; and when it was last updated.
+        self._min_transit_s = float("inf")
+        self._transit_at = 0.0
         self._transport: asyncio.Transport | None = None
 
     @property
@@ -64,6 +70,18 @@
         """Whether a frame has been received in part and its bytes still arrive."""
         return bool(self._buffer) and time.monotonic() - self._received_at < RECEIVE_PAUSE_S
 
+    def queued_s(self, sent_at: float) -> float:
+        """Return how much longer a frame was on its way than the fastest one of this link.
+
+        :param sent_at: the peer's monotonic time in seconds at which it was sent.
+        """
+        now = time.monotonic()
+        transit_s = now - sent_at
+        drift_s = MAX_CLOCK_DRIFT * (now - self._transit_at)
+        self._min_transit_s = min(transit_s, self._min_transit_s + drift_s)
+        self._transit_at = now
+        return transit_s - self._min_transit_s
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
         _set_keepalive(transport.get_extra_info("socket"))
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -226,7 +226,7 @@
                 self.add_subscriber(peer_link, frame.versions)
             case frames.Unsubscribe():
                 self._subscribers.discard(peer_link)
-            case frames.Rows() if self.receive_rows(frame, peer_link.peer):
+            case frames.Rows() if self.receive_rows(peer_link, frame):
                 peer_link.send(frames.ListingRequest(frame.table))
             case frames.ListingRequest() if frame.table in self._copies:
                 self._send_listing(peer_link, frame.table)
@@ -247,7 +247,7 @@
         peer_link.send(self._table_ages())
         self._start_reading()
 
-    def receive_rows(self, frame: frames.Rows, peer: str) -> bool:
+    def receive_rows(self, peer_link: link.Link, frame: frames.Rows) -> bool:
         """Apply rows from a peer; return whether changes before them are missing."""
         copy = self._copies.get(frame.table)
         if copy is None:
@@ -255,16 +255,16 @@
         rows = tuple(store.Row(key, value, version) for key, version, value in frame.rows)
         if frame.after is not None and frame.after > copy.version:
             return True
-        confirmed_at = time.monotonic() - frame.age_s
+        confirmed_at = _received_at(peer_link, frame) - frame.age_s
         page = store.Page(rows, frame.version, False)
-        self._merge_rows(frame.table, page, frame.after is None, peer, confirmed_at)
+        self._merge_rows(frame.table, page, frame.after is None, peer_link.peer, confirmed_at)
         return False
 
     def receive_table_ages(self, peer_link: link.Link, frame: frames.TableAges) -> None:
         """Adopt the ages of the reader's tables; request listings of those that are newer."""
         if peer_link.peer != self._reader:
             return
-        now = time.monotonic()
+        received_at = _received_at(peer_link, frame)
         for table, (version, age_s) in frame.ages.items():
             copy = self._copies.get(table)
             if copy is None:
@@ -272,7 +272,7 @@
             if version > copy.version:
                 peer_link.send(frames.ListingRequest(table))
             else:
-                self._mark_fresh(copy, now - age_s)
+                self._mark_fresh(copy, received_at - age_s)
         if self.age_s < MAX_AGE_S and all(age_s < MAX_AGE_S for _, age_s in frame.ages.values()):
             self._failovers = 0
             self._reader_is_fresh = True
@@ -508,8 +508,9 @@
         # The version is that of the whole store, so it also increases without changes here. Without
         # a frame, subscribers would seem to have missed changes and request a listing.
         if copy.version > previous_version or complete:
-            age_s = time.monotonic() - copy.fresh_at
-            data = frames.encode(frames.Rows(table, after, copy.version, encoded, age_s))
+            now = time.monotonic()
+            frame = frames.Rows(table, after, copy.version, encoded, now - copy.fresh_at, now)
+            data = frames.encode(frame)
         if table != members.TABLE:
             data += frames.encode(self._table_ages())
         for peer_link in self._subscribers:
@@ -533,8 +534,8 @@
         if copy.version < 0:
             return
         encoded = [(row.key, row.version, row.value) for row in rows]
-        age_s = time.monotonic() - copy.fresh_at
-        peer_link.send(frames.Rows(table, after, copy.version, encoded, age_s))
+        now = time.monotonic()
+        peer_link.send(frames.Rows(table, after, copy.version, encoded, now - copy.fresh_at, now))
 
     def _table_ages(self) -> frames.TableAges:
         now = time.monotonic()
@@ -543,4 +544,10 @@
             for table, copy in self._copies.items()
             if copy.version >= 0 and table != members.TABLE
         }
-        return frames.TableAges(ages)
+        return frames.TableAges(ages, now)
+
+
+def _received_at(peer_link: link.Link, frame: frames.Rows | frames.TableAges) -> float:
+    """Return when a frame would have been received without waiting in buffers or on a link."""
+    now = time.monotonic()
+    return now if frame.sent_at is None else now - peer_link.queued_s(frame.sent_at)
--- a/waxwingspool/fleet/tests/test_propagation.py
+++ b/waxwingspool/fleet/tests/test_propagation.py
@@ -40,3 +40,9 @@
         for balancer in region.readers[:2]:
             balancer.store_refuses = True
         self.assertLess(region.apply_configuration(ROUTES + 1500), node.Bounds().config_apply_s)
+
+    def test_configuration_is_in_force_in_time_behind_a_saturated_reader(self) -> None:
+        region = self.start()
+        region.readers[0].outgoing.mbps = 0.2
+        region.loop.advance(8.0)
+        self.assertLess(region.apply_configuration(ROUTES + 1500), node.Bounds().config_apply_s)
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -10,7 +10,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
-from waxwingspool.fleet import frames, members, tables
+from waxwingspool.fleet import frames, link, members, tables
 from waxwingspool.fleet import store as store_client
 from waxwingspool.platform import store
 
@@ -89,7 +89,8 @@
         )
 
     def receive(self, table: str, after: int | None, version: int, *rows: tuple) -> bool:
-        return self.tables.receive_rows(frames.Rows(table, after, version, list(rows)), READER_IP)
+        frame = frames.Rows(table, after, version, list(rows))
+        return self.tables.receive_rows(mock.Mock(peer=READER_IP), frame)
 
     async def test_rows_after_a_gap_are_rejected(self) -> None:
         self.receive("op", None, 10, ("config", 10, b"one"))
@@ -106,12 +107,14 @@
     async def test_rows_from_a_stale_peer_are_as_old_as_at_the_peer(self) -> None:
         for table in ("op", "servers"):
             rows = [("config", 10, b"x")]
-            self.tables.receive_rows(frames.Rows(table, None, 10, rows, 1.2), READER_IP)
+            frame = frames.Rows(table, None, 10, rows, 1.2)
+            self.tables.receive_rows(mock.Mock(peer=READER_IP), frame)
         self.assertAlmostEqual(1.2, self.tables.age_s)
 
     async def test_source_and_age_of_new_rows_are_told(self) -> None:
         rows = [("config", 10, b"x")]
-        self.tables.receive_rows(frames.Rows("op", None, 10, rows, 1.2), READER_IP)
+        frame = frames.Rows("op", None, 10, rows, 1.2)
+        self.tables.receive_rows(mock.Mock(peer=READER_IP), frame)
         update = self.on_rows.call_args.args[0]
         self.assertEqual(("op", True, READER_IP), (update.table, update.complete, update.source))
         self.assertAlmostEqual(1.2, update.age_s)
@@ -248,6 +251,21 @@
         self.tables.receive_table_ages(peer_link, frames.TableAges(ages))
         self.assertAlmostEqual(0.7, self.tables.age_s)
 
+    async def test_time_that_frames_wait_on_the_way_counts_as_age(self) -> None:
+        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+            self.tables._select_reader()
+        peer_link = link.Link(READER_IP, mock.Mock(), mock.Mock())
+        clock_difference_s = 500.0
+        for table in ("op", "servers"):
+            rows = frames.Rows(table, None, 4, [], 0.0, self.now - clock_difference_s)
+            self.tables.receive_rows(peer_link, rows)
+        ages = {"op": (4, 0.0), "servers": (4, 0.0)}
+        sent_at = self.now + 3 - clock_difference_s
+        self.now += 5
+        self.tables.receive_table_ages(peer_link, frames.TableAges(ages, sent_at))
+        self.assertAlmostEqual(2.0, self.tables.age_s, delta=5 * link.MAX_CLOCK_DRIFT)
+
     async def test_listing_is_requested_from_a_reader_that_is_ahead(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
         with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
@@ -266,7 +284,7 @@
         self.tables._merge_rows("op", store.Page((), 9, False), False, tables.STORE, self.now)
         sent = bytearray(subscriber.send_encoded.call_args.args[0])
         first, second = (frames.decode(data) for data in frames.split(sent))
-        self.assertEqual(frames.Rows("op", 4, 9, []), first)
+        self.assertEqual(frames.Rows("op", 4, 9, [], 0.0, self.now), first)
         self.assertEqual(9, second.ages["op"][0])
 
     def subscribe(self, version: int) -> frames.Rows:
