Leave rows of other parts out of what is read from the store

What callers would see: a configuration that is not the operator's, or an upstream taken for another or for gone.

Cause: the feed of a table returns the rows of all its parts, and a row was known by its key alone. `op/config` and `servers/ID` are rows with an empty part; listings ask for that part, the feed can't. Found by reading; no such row has been seen.

Change: rows with another part are left out when a response is decoded; its version still counts.

--- a/waxwingspool/platform/store.py
+++ b/waxwingspool/platform/store.py
@@ -36,6 +36,7 @@
 class _Row(msgspec.Struct, rename="kebab"):
     key: str
     ver: int
+    part: str = ""
     value: str | None = None
     # Marks a deleted row.
     tombstone: bool = False
@@ -93,13 +94,13 @@
 
 
 def decode_page(body: bytes) -> Page:
-    """Decode the body of a response.
+    """Decode the body of a response; rows of other parts than the empty one are left out.
 
     :raises waxwingspool.exceptions.StoreUnavailable: if the body is malformed.
     """
     try:
         page = _decoder.decode(body)
-        rows = tuple(Row(row.key, _decode_value(row), row.ver) for row in page.rows)
+        rows = tuple(Row(row.key, _decode_value(row), row.ver) for row in page.rows if not row.part)
     except (msgspec.DecodeError, ValueError) as error:
         raise exceptions.StoreUnavailable(f"malformed response: {error}") from error
     return Page(rows, page.ver, page.has_more)
--- a/waxwingspool/platform/tests/test_decoding.py
+++ b/waxwingspool/platform/tests/test_decoding.py
@@ -141,6 +141,17 @@
         self.assertEqual((9, False), (page.version, page.has_more))
         self.assertEqual([b"x", None], [row.value for row in page.rows])
 
+    def test_row_of_another_part_is_not_taken_for_the_configuration(self) -> None:
+        value = base64.b64encode(b"x").decode()
+        rows = [
+            {"part": "", "key": "config", "ver": 4, "value": value},
+            {"part": "p", "key": "config", "ver": 5, "value": value},
+            {"part": "p", "key": "config", "ver": 6, "tombstone": True},
+        ]
+        page = store.decode_page(json.dumps({"rows": rows, "ver": 9, "now-ms": 1}).encode())
+        self.assertEqual((store.Row("config", b"x", 4),), page.rows)
+        self.assertEqual(9, page.version)
+
     def test_malformed_response_counts_as_an_outage(self) -> None:
         for body in (b"", b"{}", b'{"ver": 1, "rows": [{"key": "a", "ver": 1, "value": "?"}]}'):
             with self.subTest(body), self.assertRaises(exceptions.StoreUnavailable):
