--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -21,7 +21,7 @@
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import store
 
-__all__ = ["TableCopies", "OnRows"]
+__all__ = ["STORE", "OnRows", "TableCopies", "Update"]
 
 # Time that a feed call waits for changes, in seconds. A shorter time detects a dead connection
 # sooner, but each call to the store is billed.
@@ -36,6 +36,9 @@
 # connection, call the store from another region and forward the rows. Two readers and a direct read
 # fit into the shortest time within which a configuration must be in force.
 FAILOVER_TIMEOUT_S = 0.4
+# Time in seconds by which these two are extended while a frame of the reader is arriving: a large
+# configuration, sent to all balancers of a region at once. A failover would send it once more.
+RECEIVE_EXTENSION_S = 0.5
 # Consecutive failovers from readers without fresh rows, after which a balancer also reads the store
 # directly.
 FAILOVERS_BEFORE_DIRECT_READ = 2
@@ -58,8 +61,30 @@
 # seconds; also the shortest time between two reports of a recovery.
 MIN_OUTAGE_S = 2.0
 
-# Called with a table, its new rows, and whether they are the complete table.
-OnRows = Callable[[str, Iterable[store.Row], bool], None]
+# Maximum number of deleted rows that a copy remembers in order to forward them to new subscribers.
+MAX_DELETIONS = 1000
+
+# Source of rows that were read from the store; otherwise it is the address of a peer.
+STORE = "store"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Update:
+    """New rows of a table.
+
+    :ivar complete: whether the rows are the complete table.
+    :ivar source: :data:`STORE`, or the address of the peer that sent the rows.
+    :ivar age_s: time in seconds since the store confirmed the rows.
+    """
+
+    table: str
+    rows: Iterable[store.Row]
+    complete: bool
+    source: str
+    age_s: float
+
+
+OnRows = Callable[[Update], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,11 +94,49 @@
     :ivar version: version of the store up to which all changes are included; -1 before the first
         listing.
     :ivar fresh_at: monotonic time in seconds at which the store last confirmed the copy.
+    :ivar deletions: versions of the rows that were deleted after ``deletions_since``.
     """
 
     version: int = -1
     fresh_at: float = float("-inf")
     rows: dict[str, store.Row] = dataclasses.field(default_factory=dict)
+    deletions: dict[str, int] = dataclasses.field(default_factory=dict)
+    deletions_since: int = 0
+
+    def changes_after(self, version: int) -> list[store.Row] | None:
+        """Return all changes after a version, ``None`` if they are no longer known."""
+        if version < self.deletions_since:
+            return None
+        changed = [row for row in self.rows.values() if row.version > version]
+        deleted = [
+            store.Row(key, None, deleted_in)
+            for key, deleted_in in self.deletions.items()
+            if deleted_in > version
+        ]
+        return changed + deleted
+
+    def replace(self, rows: dict[str, store.Row], version: int) -> None:
+        """Replace the copy by a complete listing."""
+        self.rows = rows
+        self.version = version
+        self._forget_deletions()
+
+    def apply(self, changes: Iterable[store.Row], version: int) -> None:
+        """Apply all changes up to a version."""
+        self.version = version
+        for row in changes:
+            if row.value is None:
+                self.rows.pop(row.key, None)
+                self.deletions[row.key] = row.version
+            else:
+                self.rows[row.key] = row
+                self.deletions.pop(row.key, None)
+        if len(self.deletions) > MAX_DELETIONS:
+            self._forget_deletions()
+
+    def _forget_deletions(self) -> None:
+        self.deletions.clear()
+        self.deletions_since = self.version
 
 
 class TableCopies:
@@ -114,6 +177,8 @@
         self._followed_since = 0.0
         self._follow_until = 0.0
         self._failovers = 0
+        # Whether the reader has delivered fresh rows since it was chosen.
+        self._reader_is_fresh = False
         self._subscribe_task: asyncio.Future | None = None
 
     @property
@@ -161,7 +226,7 @@
                 self.add_subscriber(peer_link, frame.versions)
             case frames.Unsubscribe():
                 self._subscribers.discard(peer_link)
-            case frames.Rows() if self.receive_rows(frame):
+            case frames.Rows() if self.receive_rows(peer_link, frame):
                 peer_link.send(frames.ListingRequest(frame.table))
             case frames.ListingRequest() if frame.table in self._copies:
                 self._send_listing(peer_link, frame.table)
@@ -169,7 +234,7 @@
                 self.receive_table_ages(peer_link, frame)
 
     def add_subscriber(self, peer_link: link.Link, versions: dict[str, int]) -> None:
-        """Forward rows to a peer from now on, first complete listings of its outdated tables.
+        """Forward rows to a peer from now on, first the changes that it has missed.
 
         :param versions: version of each table that the peer has.
         """
@@ -178,11 +243,11 @@
         self._subscribers.add(peer_link)
         for table, copy in self._copies.items():
             if versions.get(table, -1) < copy.version:
-                self._send_listing(peer_link, table)
+                self._send_changes(peer_link, table, versions.get(table, -1))
         peer_link.send(self._table_ages())
         self._start_reading()
 
-    def receive_rows(self, frame: frames.Rows) -> bool:
+    def receive_rows(self, peer_link: link.Link, frame: frames.Rows) -> bool:
         """Apply rows from a peer; return whether changes before them are missing."""
         copy = self._copies.get(frame.table)
         if copy is None:
@@ -190,16 +255,16 @@
         rows = tuple(store.Row(key, value, version) for key, version, value in frame.rows)
         if frame.after is not None and frame.after > copy.version:
             return True
-        self._merge_rows(frame.table, rows, frame.version, frame.after is None)
+        confirmed_at = _received_at(peer_link, frame) - frame.age_s
+        page = store.Page(rows, frame.version, False)
+        self._merge_rows(frame.table, page, frame.after is None, peer_link.peer, confirmed_at)
         return False
 
     def receive_table_ages(self, peer_link: link.Link, frame: frames.TableAges) -> None:
         """Adopt the ages of the reader's tables; request listings of those that are newer."""
         if peer_link.peer != self._reader:
             return
-        if all(age_s < MAX_AGE_S for _, age_s in frame.ages.values()):
-            self._failovers = 0
-        now = time.monotonic()
+        received_at = _received_at(peer_link, frame)
         for table, (version, age_s) in frame.ages.items():
             copy = self._copies.get(table)
             if copy is None:
@@ -207,7 +272,10 @@
             if version > copy.version:
                 peer_link.send(frames.ListingRequest(table))
             else:
-                self._mark_fresh(copy, now - age_s)
+                self._mark_fresh(copy, received_at - age_s)
+        if self.age_s < MAX_AGE_S and all(age_s < MAX_AGE_S for _, age_s in frame.ages.values()):
+            self._failovers = 0
+            self._reader_is_fresh = True
 
     def handle_lost_link(self, peer_link: link.Link) -> None:
         """Remove a peer whose link has closed as subscriber and as reader."""
@@ -224,14 +292,16 @@
         except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
             eventlog.event("members.not-listed", error=error)
             return
-        self._merge_rows(members.TABLE, page.rows, page.version, True)
+        self._merge_rows(members.TABLE, page, True, STORE, time.monotonic())
 
     def _select_reader(self) -> None:
         """Follow the preferred reader, or read the store directly."""
         now = time.monotonic()
         own_ip = self._settings.ip
-        timeout_s = FAILOVER_TIMEOUT_S if self._failovers else MAX_AGE_S
-        stale = self.age_s > MAX_AGE_S and now - self._followed_since > timeout_s
+        extension_s = RECEIVE_EXTENSION_S if self._is_receiving() else 0.0
+        max_age_s = MAX_AGE_S + extension_s
+        timeout_s = (FAILOVER_TIMEOUT_S if self._failovers else MAX_AGE_S) + extension_s
+        stale = self.age_s > max_age_s and now - self._followed_since > timeout_s
         if self._reader is not None and stale:
             self._links.suspect(self._reader, f"rows are {self.age_s:.2f} s old")
             self._failovers += 1
@@ -244,13 +314,18 @@
         ):
             self._follow(candidate)
         waited_s = now - self._followed_since
-        if self._reader is None or self._subscribers or min(waited_s, self.age_s) > MAX_AGE_S:
+        if self._reader is None or self._subscribers or min(waited_s, self.age_s) > max_age_s:
             self._start_reading()
-        elif self._failovers >= FAILOVERS_BEFORE_DIRECT_READ:
+        elif self._failovers >= FAILOVERS_BEFORE_DIRECT_READ and self.age_s > MAX_AGE_S:
             self._read_directly()
-        else:
+        elif self._reader_is_fresh:
             self._stop_reading()
 
+    def _is_receiving(self) -> bool:
+        """Return whether a frame of the reader is arriving."""
+        peer_link = None if self._reader is None else self._links.get(self._reader)
+        return peer_link is not None and peer_link.receiving
+
     def _read_directly(self) -> None:
         """Read the store directly until a reader has fresh rows.
 
@@ -281,6 +356,7 @@
     def _follow(self, reader: str) -> None:
         self._unfollow()
         self._reader = reader
+        self._reader_is_fresh = False
         self._followed_since = time.monotonic()
         self._follow_until = self._followed_since + self._rng.uniform(MIN_FOLLOW_S, MAX_FOLLOW_S)
         eventlog.event("reader.chosen", reader=reader, age_s=self.age_s)
@@ -293,6 +369,7 @@
         except exceptions.PeerUnavailable:
             if self._reader == reader:
                 self._reader = None
+                self._failovers += 1
             return
         if self._reader == reader:
             peer_link.send(frames.Subscribe(self.versions()))
@@ -308,12 +385,22 @@
     # Reading the store
 
     def _start_reading(self, tables: Iterable[str] | None = None) -> None:
+        if not self._read_tasks:
+            eventlog.event(
+                "store.reading-started",
+                reader=self._reader,
+                subscribers=len(self._subscribers),
+                failovers=self._failovers,
+                age_s=self.age_s,
+            )
         for table in self._copies if tables is None else tables:
             if table not in self._read_tasks:
                 task = asyncio.create_task(self._read_feed(table), name=f"read {table}")
                 self._read_tasks[table] = task
 
     def _stop_reading(self) -> None:
+        if self._read_tasks:
+            eventlog.event("store.reading-stopped", reader=self._reader, age_s=self.age_s)
         for task in self._read_tasks.values():
             task.cancel()
         self._read_tasks.clear()
@@ -350,41 +437,45 @@
             failures = 0
             complete = copy.version < 0 or relist
             relisted, relist = relist, False
-            self._merge_rows(table, page.rows, page.version, complete)
+            self._merge_rows(table, page, complete, STORE, time.monotonic())
             if page.rows:
                 await asyncio.sleep(BATCH_DELAY_S)
 
     # Applying rows
 
     def _merge_rows(
-        self, table: str, rows: tuple[store.Row, ...], version: int, complete: bool
+        self,
+        table: str,
+        page: store.Page,
+        complete: bool,
+        source: str,
+        confirmed_at: float,
     ) -> None:
         """Merge rows into a copy, and pass the changes to ``on_rows`` and to subscribers.
 
-        :param version: version of the store up to which the rows contain all changes.
+        :param page: all changes up to its version.
         :param complete: whether the rows are the complete table and replace the copy.
+        :param source: see :class:`Update`.
+        :param confirmed_at: monotonic time in seconds at which the store confirmed the version.
         """
         copy = self._copies[table]
-        self._mark_fresh(copy, time.monotonic())
+        rows, version = page.rows, page.version
         if version < copy.version:
             return
+        self._mark_fresh(copy, confirmed_at)
         previous_version = copy.version
         if complete:
             listed = {row.key: row for row in rows if row.value is not None}
             changed = listed != copy.rows or previous_version < 0
-            copy.rows = listed
+            copy.replace(listed, version)
             updates: Iterable[store.Row] = listed.values()
         else:
             updates = [row for row in rows if row.version > previous_version]
             changed = bool(updates)
-            for row in updates:
-                if row.value is None:
-                    copy.rows.pop(row.key, None)
-                else:
-                    copy.rows[row.key] = row
-        copy.version = version
+            copy.apply(updates, version)
         if changed:
-            self._on_rows(table, updates, complete)
+            age_s = time.monotonic() - confirmed_at
+            self._on_rows(Update(table, updates, complete, source, age_s))
         self._broadcast_rows(
             table, previous_version, updates if changed else (), complete and changed
         )
@@ -412,21 +503,39 @@
             return
         encoded = [(row.key, row.version, row.value) for row in rows]
         after = None if complete else previous_version
+        copy = self._copies[table]
         data = b""
-        if encoded or complete:
-            version = self._copies[table].version
-            data = frames.encode(frames.Rows(table, after, version, encoded))
+        # The version is that of the whole store, so it also increases without changes here. Without
+        # a frame, subscribers would seem to have missed changes and request a listing.
+        if copy.version > previous_version or complete:
+            now = time.monotonic()
+            frame = frames.Rows(table, after, copy.version, encoded, now - copy.fresh_at, now)
+            data = frames.encode(frame)
         if table != members.TABLE:
             data += frames.encode(self._table_ages())
         for peer_link in self._subscribers:
             peer_link.send_encoded(data)
 
     def _send_listing(self, peer_link: link.Link, table: str) -> None:
+        self._send_rows(peer_link, table, None, self._copies[table].rows.values())
+
+    def _send_changes(self, peer_link: link.Link, table: str, after: int) -> None:
+        """Send the changes after a version, or a complete listing if they are not known."""
+        changes = self._copies[table].changes_after(after)
+        if changes is None:
+            self._send_listing(peer_link, table)
+        else:
+            self._send_rows(peer_link, table, after, changes)
+
+    def _send_rows(
+        self, peer_link: link.Link, table: str, after: int | None, rows: Iterable[store.Row]
+    ) -> None:
         copy = self._copies[table]
         if copy.version < 0:
             return
-        rows = [(row.key, row.version, row.value) for row in copy.rows.values()]
-        peer_link.send(frames.Rows(table, None, copy.version, rows))
+        encoded = [(row.key, row.version, row.value) for row in rows]
+        now = time.monotonic()
+        peer_link.send(frames.Rows(table, after, copy.version, encoded, now - copy.fresh_at, now))
 
     def _table_ages(self) -> frames.TableAges:
         now = time.monotonic()
@@ -435,4 +544,10 @@
             for table, copy in self._copies.items()
             if copy.version >= 0 and table != members.TABLE
         }
-        return frames.TableAges(ages)
+        return frames.TableAges(ages, now)
+
+
+def _received_at(peer_link: link.Link, frame: frames.Rows | frames.TableAges) -> float:
+    """Return when a frame would have been received without waiting in buffers or on a link."""
+    now = time.monotonic()
+    return now if frame.sent_at is None else now - peer_link.queued_s(frame.sent_at)
--- a/waxwingspool/fleet/tests/test_link.py
+++ b/waxwingspool/fleet/tests/test_link.py
@@ -1,4 +1,4 @@
-"""Backoff of suspected peers, and the memory that frames of a peer take."""
+"""Backoff of suspected peers, and frames that arrive in pieces or many at a time."""
 
 import unittest
 from unittest import mock
@@ -40,3 +40,22 @@
                 self.assertEqual(unpack.call_count, count)
                 self.assertEqual(frames.decode(frame), rows)
         self.assertEqual(count, 5)
+
+
+class ArrivingFrameTest(unittest.TestCase):
+    def test_link_is_receiving_until_the_frame_is_complete_or_pauses(self) -> None:
+        now = 100.0
+        on_frame = mock.Mock()
+        peer_link = link.Link(PEER, on_frame, mock.Mock())
+        encoded = frames.encode(frames.Rows("op", 1, 2, [("config", 2, b"x" * 100)]))
+        with mock.patch.object(link.time, "monotonic", lambda: now):
+            self.assertFalse(peer_link.receiving)
+            peer_link.data_received(encoded[:50])
+            self.assertTrue(peer_link.receiving)
+            now += link.RECEIVE_PAUSE_S
+            self.assertFalse(peer_link.receiving)
+            peer_link.data_received(encoded[50:60])
+            self.assertTrue(peer_link.receiving)
+            peer_link.data_received(encoded[60:])
+            self.assertFalse(peer_link.receiving)
+        on_frame.assert_called_once()
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -10,7 +10,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
-from waxwingspool.fleet import frames, members, tables
+from waxwingspool.fleet import frames, link, members, tables
 from waxwingspool.fleet import store as store_client
 from waxwingspool.platform import store
 
@@ -73,6 +73,7 @@
         self.client = FakeStoreClient()
         self.links = mock.Mock()
         self.links.available.return_value = True
+        self.links.get.return_value = mock.Mock(receiving=False)
         self.links.get_or_connect = mock.AsyncMock(return_value=mock.Mock())
         self.on_rows = mock.Mock()
         self.on_recovery = mock.Mock()
@@ -88,7 +89,8 @@
         )
 
     def receive(self, table: str, after: int | None, version: int, *rows: tuple) -> bool:
-        return self.tables.receive_rows(frames.Rows(table, after, version, list(rows)))
+        frame = frames.Rows(table, after, version, list(rows))
+        return self.tables.receive_rows(mock.Mock(peer=READER_IP), frame)
 
     async def test_rows_after_a_gap_are_rejected(self) -> None:
         self.receive("op", None, 10, ("config", 10, b"one"))
@@ -102,6 +104,29 @@
         self.receive("op", None, 9, ("config", 9, b"old"))
         self.on_rows.assert_not_called()
 
+    async def test_rows_from_a_stale_peer_are_as_old_as_at_the_peer(self) -> None:
+        for table in ("op", "servers"):
+            rows = [("config", 10, b"x")]
+            frame = frames.Rows(table, None, 10, rows, 1.2)
+            self.tables.receive_rows(mock.Mock(peer=READER_IP), frame)
+        self.assertAlmostEqual(1.2, self.tables.age_s)
+
+    async def test_source_and_age_of_new_rows_are_told(self) -> None:
+        rows = [("config", 10, b"x")]
+        frame = frames.Rows("op", None, 10, rows, 1.2)
+        self.tables.receive_rows(mock.Mock(peer=READER_IP), frame)
+        update = self.on_rows.call_args.args[0]
+        self.assertEqual(("op", True, READER_IP), (update.table, update.complete, update.source))
+        self.assertAlmostEqual(1.2, update.age_s)
+
+    async def test_outdated_rows_do_not_refresh_the_copy(self) -> None:
+        for table in ("op", "servers"):
+            self.receive(table, None, 10)
+        self.now += 5
+        for table in ("op", "servers"):
+            self.receive(table, None, 9)
+        self.assertAlmostEqual(5, self.tables.age_s)
+
     async def test_feed_relists_after_history_is_gone(self) -> None:
         self.tables._start_reading()
         await asyncio.sleep(0)
@@ -180,6 +205,22 @@
         self.assertLess(self.now - changed_at, node.Bounds().config_apply_s - 0.2)
         self.tables._stop_reading()
 
+    async def test_reader_is_suspected_only_later_while_its_frame_arrives(self) -> None:
+        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        self.links.get.return_value.receiving = True
+        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+            for table in ("op", "servers"):
+                self.receive(table, None, 4)
+            self.tables._select_reader()
+            self.now += tables.MAX_AGE_S + tables.RECEIVE_EXTENSION_S - 0.1
+            self.tables._select_reader()
+            self.links.suspect.assert_not_called()
+            self.assertFalse(self.tables.is_reading)
+            self.now += 0.2
+            self.tables._select_reader()
+        self.links.suspect.assert_called_once()
+        self.tables._stop_reading()
+
     async def test_direct_reads_continue_until_a_reader_is_fresh(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
         peer_link = mock.Mock(peer=READER_IP)
@@ -210,6 +251,21 @@
         self.tables.receive_table_ages(peer_link, frames.TableAges(ages))
         self.assertAlmostEqual(0.7, self.tables.age_s)
 
+    async def test_time_that_frames_wait_on_the_way_counts_as_age(self) -> None:
+        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+            self.tables._select_reader()
+        peer_link = link.Link(READER_IP, mock.Mock(), mock.Mock())
+        clock_difference_s = 500.0
+        for table in ("op", "servers"):
+            rows = frames.Rows(table, None, 4, [], 0.0, self.now - clock_difference_s)
+            self.tables.receive_rows(peer_link, rows)
+        ages = {"op": (4, 0.0), "servers": (4, 0.0)}
+        sent_at = self.now + 3 - clock_difference_s
+        self.now += 5
+        self.tables.receive_table_ages(peer_link, frames.TableAges(ages, sent_at))
+        self.assertAlmostEqual(2.0, self.tables.age_s, delta=5 * link.MAX_CLOCK_DRIFT)
+
     async def test_listing_is_requested_from_a_reader_that_is_ahead(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
         with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
@@ -218,6 +274,48 @@
         self.tables.receive_table_ages(peer_link, frames.TableAges({"op": (9, 0.1)}))
         peer_link.send.assert_called_once_with(frames.ListingRequest("op"))
 
+    async def test_version_without_changes_reaches_subscribers_without_a_listing(self) -> None:
+        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+            self.tables._select_reader()
+        subscriber = mock.Mock()
+        self.receive("op", None, 4, ("config", 4, b"x"))
+        self.tables._subscribers.add(subscriber)
+        self.tables._merge_rows("op", store.Page((), 9, False), False, tables.STORE, self.now)
+        sent = bytearray(subscriber.send_encoded.call_args.args[0])
+        first, second = (frames.decode(data) for data in frames.split(sent))
+        self.assertEqual(frames.Rows("op", 4, 9, [], 0.0, self.now), first)
+        self.assertEqual(9, second.ages["op"][0])
+
+    def subscribe(self, version: int) -> frames.Rows:
+        """Return what a subscriber with a version of table ``op`` is sent of it."""
+        subscriber = mock.Mock()
+        self.tables.add_subscriber(subscriber, {"op": version})
+        self.tables._stop_reading()
+        sent = [call.args[0] for call in subscriber.send.call_args_list]
+        return next(f for f in sent if isinstance(f, frames.Rows) and f.table == "op")
+
+    async def test_new_subscriber_is_sent_only_the_changes_that_it_has_missed(self) -> None:
+        self.receive("op", None, 4, ("config", 3, b"c"), ("other", 4, b"x"))
+        self.receive("op", 4, 9, ("other", 6, None), ("new", 8, b"y"))
+        sent = self.subscribe(4)
+        self.assertEqual((4, 9), (sent.after, sent.version))
+        self.assertEqual([("new", 8, b"y"), ("other", 6, None)], sent.rows)
+
+    async def test_new_subscriber_is_sent_a_listing_if_deletions_are_not_known(self) -> None:
+        self.receive("op", None, 4, ("config", 3, b"c"))
+        self.assertIsNone(self.subscribe(3).after)
+        with mock.patch.object(tables, "MAX_DELETIONS", 1):
+            self.receive("op", 4, 9, ("a", 6, None), ("b", 8, None))
+        self.assertIsNone(self.subscribe(8).after)
+        self.assertEqual(9, self.tables._copies["op"].deletions_since)
+
+    async def test_row_that_returns_after_its_deletion_is_no_deletion(self) -> None:
+        self.receive("op", None, 4, ("config", 3, b"c"))
+        self.receive("op", 4, 6, ("config", 6, None))
+        self.receive("op", 6, 8, ("config", 8, b"d"))
+        self.assertEqual([("config", 8, b"d")], self.subscribe(4).rows)
+
     async def test_reading_continues_after_failed_calls(self) -> None:
         self.tables._start_reading()
         await asyncio.sleep(0)
--- a/waxwingspool/proxy/tests/test_endless.py
+++ b/waxwingspool/proxy/tests/test_endless.py
@@ -124,6 +124,7 @@
             headers.HEADER_NAMES,
             lambda: budget.RetryBudget(0.2, 50.0, 10.0, float("-inf")),
             mock.Mock(spec=split.Splitter, pick=lambda route: "tags"),
+            lambda: 0.0,
         )
 
     def request(self, *scripts: Script, kind: routes.Kind = routes.Kind.IDEMPOTENT) -> bytes:
