--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -38,7 +38,8 @@
         pending = asyncio.all_tasks(self)
         for task in pending:
             task.cancel()
-        self.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        if pending:
+            self.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
         self.close()
         asyncio.set_event_loop(None)
 
--- a/waxwingspool/fleet/tests/model.py
+++ b/waxwingspool/fleet/tests/model.py
@@ -1,19 +1,25 @@
-"""A region of balancers on virtual time, with links of limited bandwidth and a store that fails.
+"""Balancers on virtual time, with links of limited bandwidth and a store that fails.
 
-The copies, links and frames are the product's own; sockets, processors and the store are modelled.
+The copies, links, frames and the client of the store are the product's own; sockets, processors and
+the store are modelled. Region ``a`` is far from the store: the responses of the store and what the
+balancers of another region send pass one link.
 """
 
 import asyncio
+import base64
 import collections
+import json
 import random
+import urllib.parse
 from collections.abc import Callable, Iterable
 from unittest import mock
 
 from standins import virtual
-from waxwingspool import exceptions
 from waxwingspool.catalog import node
 from waxwingspool.fleet import frames, link, members, tables
+from waxwingspool.fleet import store as store_client
 from waxwingspool.platform import store
+from waxwingspool.proxy import body, upstream
 
 __all__ = ["LARGE_MBPS", "Region", "SMALL_MBPS", "configuration"]
 
@@ -24,11 +30,12 @@
 SEGMENT_BYTES = 16 * 1024
 # One way delays in seconds.
 PEER_DELAY_S = 0.001
+REGION_DELAY_S = 0.03
 STORE_DELAY_S = 0.015
 # Bytes that half a core encodes and compresses in a second.
 ENCODE_BYTES_PER_S = 80e6
-# Time without a response after which a call to the store fails, in seconds.
-RESPONSE_TIMEOUT_S = 0.5
+# Bandwidth of the link into region ``a``, in megabits per second.
+REGION_MBPS = 1000.0
 USER_TIMEOUT_S = link.USER_TIMEOUT_MS / 1000
 
 
@@ -66,6 +73,10 @@
         if not self._busy:
             self._send_next()
 
+    def drop(self, flow: object) -> None:
+        """Drop the bytes of a connection that have not been sent."""
+        self._queues.pop(flow, None)
+
     def _send_next(self) -> None:
         self._busy = bool(self._queues)
         if not self._busy:
@@ -107,10 +118,19 @@
         loop.call_at(self._owner.busy_until, self._owner.outgoing.send, self, data, self._arrive)
 
     def _arrive(self, data: bytes) -> None:
-        incoming = self.other._owner.incoming
-        self._region.loop.call_later(
-            PEER_DELAY_S, incoming.send, self.other, data, self.other.receive
-        )
+        peer = self.other._owner
+        delay_s, forward = PEER_DELAY_S, self._forward
+        if peer.settings.region != self._owner.settings.region:
+            delay_s = REGION_DELAY_S
+            if peer.settings.region == "a":
+                forward = self._cross_region_link
+        self._region.loop.call_later(delay_s, forward, data)
+
+    def _cross_region_link(self, data: bytes) -> None:
+        self._region.region_link.send(self, data, self._forward)
+
+    def _forward(self, data: bytes) -> None:
+        self.other._owner.incoming.send(self.other, data, self.other.receive)
 
     def receive(self, data: bytes) -> None:
         if not self._closed and not self._owner.cut:
@@ -124,47 +144,77 @@
                 self._region.loop.call_later(PEER_DELAY_S, self.other.abort)
 
 
-class _StoreClient:
-    """Calls of one balancer to the store."""
+class _StoreConnection:
+    """A connection of one balancer to the store; responses pass the link between regions."""
+
+    usable = True
+    idle_since = 0.0
+    failure = upstream.Broken(upstream.ExchangeFailure.TRUNCATED)
 
     def __init__(self, region: "Region", owner: "Balancer") -> None:
         self._region, self._owner = region, owner
+        self._closed = False
+        self._target = ""
 
-    async def get_listing(self, table: str) -> store.Page:
-        rows = self._region.rows[table].values()
-        return await self._respond([row for row in rows if row.value is not None])
-
-    async def get_changes(self, table: str, after: int, wait_s: float) -> store.Page:
-        def changes() -> list[store.Row]:
-            return [row for row in self._region.rows[table].values() if row.version > after]
+    def send_head(self, head: bytes, request_id: bytes | None) -> None:
+        self._target = head.split()[1].decode()
 
-        ends_at = self._region.loop.time() + wait_s
-        await self._request()
-        while not changes() and self._region.loop.time() < ends_at:
-            await asyncio.sleep(0.02)
-        return await self._respond(changes())
+    def write(self, data: bytes) -> None:
+        pass
 
-    async def _request(self) -> None:
-        self._region.store_calls += 1
-        if self._owner.cut or self._owner.store_silent:
-            await asyncio.sleep(RESPONSE_TIMEOUT_S)
+    async def read_response(self) -> upstream.Response:
+        if self._owner.store_silent or self._owner.cut:
+            await asyncio.Event().wait()
+        url = urllib.parse.urlsplit(self._target)
+        query = dict(urllib.parse.parse_qsl(url.query))
         await asyncio.sleep(STORE_DELAY_S)
-        if self._owner.cut or self._owner.store_silent or self._owner.store_refuses:
-            raise exceptions.StoreUnavailable("refused")
-
-    async def _respond(self, rows: list[store.Row]) -> store.Page:
-        version = self._region.version
+        after = int(query.get("after", -1))
+        ends_at = self._region.loop.time() + int(query.get("wait-ms", 0)) / 1000
+        while not self._region.changes(query["table"], after):
+            if self._region.loop.time() >= ends_at:
+                break
+            await asyncio.sleep(0.02)
+        data = self._region.encode_page(query["table"], after)
         await asyncio.sleep(STORE_DELAY_S)
-        received = asyncio.Event()
-        # Base64 adds a third.
-        size = sum(len(row.value or b"") * 4 // 3 + 100 for row in rows) + 100
-        incoming = self._owner.incoming
-        incoming.send(received, bytes(size), lambda _: None)
-        incoming.send(received, b"\n", lambda _: received.set())
-        await received.wait()
         if self._owner.store_refuses:
-            raise exceptions.StoreUnavailable("refused")
-        return store.Page(tuple(rows), version, False)
+            raise self.failure
+        stream = body.Body(lambda: None, lambda: None)
+
+        def feed(piece: bytes) -> None:
+            stream.feed(piece)
+            if stream.received_bytes == len(data):
+                stream.finish()
+
+        def receive(piece: bytes) -> None:
+            self._owner.incoming.send(self, piece, feed)
+
+        if self._owner.settings.region == "a":
+            self._region.region_link.send(self, data, receive)
+        else:
+            receive(data)
+
+        return upstream.Response(200, b"", [], stream)
+
+    def finish(self) -> bool:
+        return True
+
+    def abort(self) -> None:
+        self._region.region_link.drop(self)
+
+
+class _StoreClient(store_client.StoreClient):
+    """Calls of one balancer to the store."""
+
+    def __init__(self, region: "Region", owner: "Balancer") -> None:
+        super().__init__(owner.settings)
+        self._region, self._owner = region, owner
+
+    async def _get_connection(self) -> _StoreConnection:
+        self._region.store_calls += 1
+        if self._owner.store_refuses and not self._owner.cut:
+            await asyncio.sleep(2 * STORE_DELAY_S)
+            raise ConnectionResetError
+        return _StoreConnection(self._region, self._owner)
 
 
 class Balancer:
@@ -176,7 +226,7 @@
     :ivar applied_at: time at which each value of the configuration was applied.
     """
 
-    def __init__(self, region: "Region", ip: str, link_mbps: float) -> None:
+    def __init__(self, region: "Region", ip: str, link_mbps: float, region_name: str) -> None:
         self._region = region
         self.ip = ip
         self.incoming, self.outgoing = (_Pipe(region.loop, link_mbps) for _ in range(2))
@@ -186,8 +236,8 @@
         self.settings = node.NodeSettings(
             name=ip,
             ip=ip,
-            data_centre="a-1",
-            region="a",
+            data_centre=f"{region_name}-1",
+            region=region_name,
             caller_address=(ip, 1),
             readiness_address=(ip, 2),
             link_mbps=link_mbps,
@@ -196,7 +246,7 @@
             metrics_port=4,
             store_address=("10.9.0.1", 5),
             first_start=False,
-            regions={"a-1": "a"},
+            regions={"a-1": "a", "b-1": "b"},
             bounds=node.Bounds(),
         )
 
@@ -234,14 +284,26 @@
 
 
 class Region:
-    """All balancers of a region and the store.
+    """All balancers of region ``a``, those of region ``b`` that matter to them, and the store.
 
-    :ivar readers: the balancers that may be readers, in order of their rank.
+    :param readers: number of balancers that may be readers.
+    :param others: number of balancers with small links.
+    :param remote: number of balancers in region ``b``.
+    :ivar readers: the balancers of region ``a`` that may be readers, in order of their rank.
+    :ivar region_link: the link into region ``a``.
     :ivar encoded: bytes that were encoded since the last write.
     """
 
-    def __init__(self, readers: int = 4, others: int = 65, routes: int = 2000) -> None:
+    def __init__(
+        self,
+        readers: int = 4,
+        others: int = 65,
+        routes: int = 2000,
+        region_mbps: float = REGION_MBPS,
+        remote: int = 0,
+    ) -> None:
         self.loop = virtual.new_event_loop()
+        self.region_link = _Pipe(self.loop, region_mbps)
         self.loop.create_connection = self._connect
         self.version = self.store_calls = self.encoded = 0
         self.rows: dict[str, dict[str, store.Row]] = {"op": {}, "servers": {}, members.TABLE: {}}
@@ -254,9 +316,10 @@
         for patch in self._patches:
             patch.start()
         mbps = [LARGE_MBPS] * readers + [SMALL_MBPS] * others
+        local = [(f"10.0.0.{i}", m, "a") for i, m in enumerate(mbps, 1)]
+        remotes = [(f"10.1.0.{i}", LARGE_MBPS, "b") for i in range(1, remote + 1)]
         self.balancers = {
-            ip: Balancer(self, ip, link_mbps)
-            for ip, link_mbps in ((f"10.0.0.{i}", m) for i, m in enumerate(mbps, 1))
+            ip: Balancer(self, ip, link_mbps, name) for ip, link_mbps, name in local + remotes
         }
         for balancer in self.balancers.values():
             self.put(members.TABLE, balancer.ip, members.encode(balancer.settings))
@@ -284,13 +347,25 @@
         self.version += 1
         self.rows[table][key] = store.Row(key, value, self.version)
 
+    def changes(self, table: str, after: int) -> list[store.Row]:
+        """Return the rows of a table that the store has after a version."""
+        return [row for row in self.rows[table].values() if row.version > after]
+
+    def encode_page(self, table: str, after: int) -> bytes:
+        """Return the store's response with the changes of a table after a version."""
+        rows = [
+            {"key": row.key, "ver": row.version, "value": base64.b64encode(row.value).decode()}
+            for row in self.changes(table, after)
+        ]
+        return json.dumps({"rows": rows, "ver": self.version}).encode()
+
     def apply_configuration(self, routes: int, seconds: float = 8.0) -> float:
         """Accept a configuration; return the longest time until a balancer in touch has it."""
         value = configuration(routes, self.version)
         accepted_at = self.loop.time()
         self.put("op", "config", value)
         self.loop.advance(seconds)
-        calm = [b for b in self.balancers.values() if not (b.cut or b.store_refuses)]
+        calm = [balancer for balancer in self.balancers.values() if not balancer.cut]
         return max(b.applied_at.get(value, float("inf")) for b in calm) - accepted_at
 
     async def _change_servers(self) -> None:
--- a/waxwingspool/fleet/tests/test_propagation.py
+++ b/waxwingspool/fleet/tests/test_propagation.py
@@ -10,8 +10,8 @@
 
 
 class PropagationTest(unittest.TestCase):
-    def start(self, **sizes: int) -> model.Region:
-        region = model.Region(routes=ROUTES, **sizes)
+    def start(self, routes: int = ROUTES, **sizes: float) -> model.Region:
+        region = model.Region(routes=routes, **sizes)
         self.addCleanup(region.close)
         return region
 
@@ -46,3 +46,19 @@
         region.readers[0].outgoing.mbps = 0.2
         region.loop.advance(8.0)
         self.assertLess(region.apply_configuration(ROUTES + 1500), node.Bounds().config_apply_s)
+
+    def test_refused_readers_do_not_make_a_region_overload_its_link_to_the_store(self) -> None:
+        region = self.start(routes=20, others=60, region_mbps=30.0, remote=4)
+        for balancer in [*region.readers[:3], *list(region.balancers.values())[4:60:2]]:
+            balancer.store_refuses = True
+        region.loop.advance(1.2)
+        bound_s = node.Bounds().config_apply_s
+        self.assertLess(region.apply_configuration(1900, 3.0), bound_s)
+        self.assertLess(region.apply_configuration(1901, 3.0), bound_s)
+
+    def test_region_that_the_store_refuses_gets_configurations_from_another(self) -> None:
+        region = self.start(routes=20, others=60, region_mbps=30.0, remote=4)
+        for balancer in region.balancers.values():
+            balancer.store_refuses = balancer.settings.region == "a"
+        self.assertLess(region.apply_configuration(1900), node.Bounds().config_apply_s)
+        self.assertLess(region.apply_configuration(1901), node.Bounds().config_apply_s)
