Time a call to the store by its progress, not by the whole transfer

Callers saw configurations late: while many responses shared the link between regions, each was given up 0.5 to 4 s after the call, however much of it had arrived, and was asked for again. The timeout now starts anew with each piece of the body, with 10 s for all of it. test_large_response_that_keeps_arriving_is_not_abandoned fails without it (StoreUnavailable); that a response which stalls or trickles without end is abandoned is tested beside it. Cost: none in calls; a stalled transfer is still found after the same time without progress.

--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -11,9 +11,12 @@
 
 # Shortest and longest response timeout, in seconds, added to the time that the call asks the store
 # to wait. The timeout doubles whenever it expires, because the store may be slow, and halves with
-# each response; the minimum detects a dead connection in time.
+# each response; the minimum detects a dead connection in time. While a body arrives, it limits the
+# time without progress.
 MIN_RESPONSE_TIMEOUT_S = 0.5
 MAX_RESPONSE_TIMEOUT_S = 4.0
+# Longest time for the body of a response, in seconds.
+MAX_TRANSFER_S = 10.0
 # Time in seconds that a write may queue at the store, because all balancers start and register
 # together.
 WRITE_QUEUE_TIMEOUT_S = 2.0
@@ -91,9 +94,9 @@
         connection = None
         succeeded = False
         try:
-            async with asyncio.timeout(wait_s + self._response_timeout_s):
+            async with asyncio.timeout(wait_s + self._response_timeout_s) as timeout:
                 connection = await self._get_connection()
-                result = await self._exchange(connection, method, target, body)
+                result = await self._exchange(connection, method, target, body, timeout)
                 succeeded = True
         except TimeoutError as error:
             self._response_timeout_s = min(MAX_RESPONSE_TIMEOUT_S, 2 * self._response_timeout_s)
@@ -125,8 +128,17 @@
         )
 
     async def _exchange(
-        self, connection: upstream.Connection, method: bytes, target: str, body: bytes
+        self,
+        connection: upstream.Connection,
+        method: bytes,
+        target: str,
+        body: bytes,
+        timeout: asyncio.Timeout,
     ) -> tuple[int, bytes]:
+        """Send a request and return status and body of the response.
+
+        :param timeout: timeout of the call, which is extended while the body arrives.
+        """
         headers = [(b"host", self._host)]
         if body:
             headers.append((b"content-type", b"application/json"))
@@ -135,8 +147,12 @@
         connection.send_head(message.format_head(start, headers), None)
         connection.write(body)
         response = await connection.read_response()
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + MAX_TRANSFER_S
         data = bytearray()
         while True:
+            progress_at = min(ends_at, loop.time() + self._response_timeout_s)
+            timeout.reschedule(max(timeout.when(), progress_at))
             await response.body.wait_for_data()
             data += response.body.read_available()
             if response.body.failed:
