Choose a reader by the age of its rows, ask another region, and take turns at direct reads

Now a reader whose calls fail follows another balancer, first the reader of another region, whose frames are compressed, and forwards its rows; a reader without fresh rows isn't chosen again for 5 s; one that still talks isn't suspected, so dispatching is not disturbed; candidates of the own region, then of others, then the rest; direct reads follow the rank, at 1 MB/s a region.

--- a/waxwingspool/fleet/members.py
+++ b/waxwingspool/fleet/members.py
@@ -59,8 +59,14 @@
 
     def __init__(self, settings: node.NodeSettings) -> None:
         self._own_ip = settings.ip
+        self._revision = 0
         self._members = {settings.ip: own_member(settings)}
 
+    @property
+    def revision(self) -> int:
+        """Number of changes so far, from which results for these members can be cached."""
+        return self._revision
+
     @property
     def count(self) -> int:
         """Number of known balancers, including this one."""
@@ -96,6 +102,7 @@
         :param value: value of the row, ``None`` if it was deleted.
         :returns: whether the value could be decoded.
         """
+        self._revision += 1
         if value is None:
             if ip != self._own_ip:
                 self._members.pop(ip, None)
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -1,13 +1,16 @@
 """Copies of the store's tables, replicated to all balancers through one reader per region.
 
 In each region the balancer that ranks first, the reader, follows the feeds of the store's tables
-and forwards rows and their age to the others. A balancer whose rows become too old suspects its
-reader, fails over to the next one, and reads the store directly until a reader has fresh rows. The
-number of calls to the store thus grows with the number of regions rather than balancers, and no
-balancer depends on one reader for longer than :data:`MAX_AGE_S`.
+and forwards rows and their age to the others. A balancer whose rows become too old fails over to
+the next reader, of its own region first, and in its turn reads the store directly until a reader
+has fresh rows. The number of calls to the store thus grows with the number of regions rather than
+balancers, and no balancer depends on one reader for longer than :data:`MAX_AGE_S`. A reader whose
+own calls fail follows another balancer and forwards that one's rows.
 """
 
 import asyncio
+import collections
+import contextlib
 import dataclasses
 import random
 import time
@@ -15,7 +18,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
-from waxwingspool.dispatch import election
+from waxwingspool.dispatch import readers
 from waxwingspool.fleet import frames, link, members
 from waxwingspool.fleet import store as store_client
 from waxwingspool.observe import eventlog
@@ -40,8 +43,23 @@
 # configuration, sent to all balancers of a region at once. A failover would send it once more.
 RECEIVE_EXTENSION_S = 0.5
 # Consecutive failovers from readers without fresh rows, after which a balancer also reads the store
-# directly.
-FAILOVERS_BEFORE_DIRECT_READ = 2
+# directly: in a deployment of one region, and of several, where another region is asked first.
+MIN_FAILOVERS_BEFORE_DIRECT_READ = 2
+MAX_FAILOVERS_BEFORE_DIRECT_READ = 4
+# Age of rows, in seconds, at which a reader whose own calls fail fails over, and time that the next
+# reader has then. Shorter, so that its followers need not fail over.
+MAX_RELAY_AGE_S = FEED_LONG_POLL_S + 0.2
+RELAY_FAILOVER_TIMEOUT_S = 0.25
+# Same while no candidate is left that has not been tried, as in an outage of the store.
+EXHAUSTED_FAILOVER_TIMEOUT_S = 1.0
+# Time in seconds after which a reader that did not deliver fresh rows is tried again.
+STALE_READER_PAUSE_S = 5.0
+# Least progress in the age of rows that is forwarded on its own, in seconds.
+MIN_AGE_PROGRESS_S = 0.1
+# Longest time in seconds that a balancer waits for its turn while it reaches no other one.
+MAX_LONE_TURN_DELAY_S = 1.0
+# Smallest size in bytes assumed for the tables, whose rows may have grown unseen.
+MIN_TABLE_BYTES = 256 * 1024
 # Shortest and longest delay after a failed call, in seconds, plus up to 100 % jitter. It doubles
 # with each failure, because calls are billed during an outage of the store as well.
 MIN_RETRY_DELAY_S = 0.15
@@ -179,7 +197,19 @@
         self._failovers = 0
         # Whether the reader has delivered fresh rows since it was chosen.
         self._reader_is_fresh = False
+        # Balancers that were followed without delivering fresh rows, with the time of the failover.
+        self._stale_since: dict[str, float] = {}
+        self._ranks: dict[str, list[str]] = {}
+        self._ranks_revision = -1
+        # Number of consecutive failed calls to the store, and time of the last successful one.
+        self._failed_calls: collections.Counter[str] = collections.Counter()
+        self._read_at: dict[str, float] = {}
+        self._reading_since = float("-inf")
+        self._started_at = time.monotonic()
+        self._forwarded_fresh_at = float("-inf")
+        self._heard_at = float("-inf")
         self._subscribe_task: asyncio.Future | None = None
+        self._connect_tasks: list[asyncio.Future] = []
 
     @property
     def complete(self) -> bool:
@@ -189,9 +219,11 @@
     @property
     def age_s(self) -> float:
         """Age of the oldest required table, in seconds."""
-        return time.monotonic() - min(
-            self._copies[table].fresh_at for table in self._required_tables
-        )
+        return time.monotonic() - self._fresh_at
+
+    @property
+    def _fresh_at(self) -> float:
+        return min(self._copies[table].fresh_at for table in self._required_tables)
 
     @property
     def reader(self) -> str | None:
@@ -241,11 +273,17 @@
         if peer_link not in self._subscribers:
             eventlog.event("beliefs.subscribed", peer=peer_link.peer)
         self._subscribers.add(peer_link)
+        if peer_link.peer == self._reader:
+            # The reader has lost the store and follows this balancer in turn.
+            self._unfollow()
+        elif self._reader is not None and self.age_s > MAX_RELAY_AGE_S:
+            # The subscriber has given up a reader, probably the same one.
+            self._give_up_reader()
+            self._select_reader()
         for table, copy in self._copies.items():
             if versions.get(table, -1) < copy.version:
                 self._send_changes(peer_link, table, versions.get(table, -1))
         peer_link.send(self._table_ages())
-        self._start_reading()
 
     def receive_rows(self, peer_link: link.Link, frame: frames.Rows) -> bool:
         """Apply rows from a peer; return whether changes before them are missing."""
@@ -264,6 +302,7 @@
         """Adopt the ages of the reader's tables; request listings of those that are newer."""
         if peer_link.peer != self._reader:
             return
+        self._heard_at = time.monotonic()
         received_at = _received_at(peer_link, frame)
         for table, (version, age_s) in frame.ages.items():
             copy = self._copies.get(table)
@@ -276,6 +315,9 @@
         if self.age_s < MAX_AGE_S and all(age_s < MAX_AGE_S for _, age_s in frame.ages.values()):
             self._failovers = 0
             self._reader_is_fresh = True
+            self._stale_since.pop(peer_link.peer, None)
+        if self._subscribers and self._fresh_at > self._forwarded_fresh_at + MIN_AGE_PROGRESS_S:
+            self._broadcast(b"")
 
     def handle_lost_link(self, peer_link: link.Link) -> None:
         """Remove a peer whose link has closed as subscriber and as reader."""
@@ -294,32 +336,101 @@
             return
         self._merge_rows(members.TABLE, page, True, STORE, time.monotonic())
 
+    def _retry_delay_s(self, failures: int) -> float:
+        """Return how long to wait after a number of consecutive failed calls, in seconds."""
+        delay_s = min(MAX_RETRY_DELAY_S, MIN_RETRY_DELAY_S * 2 ** (failures - 1))
+        return delay_s * (1 + self._rng.random())
+
     def _select_reader(self) -> None:
         """Follow the preferred reader, or read the store directly."""
-        now = time.monotonic()
-        own_ip = self._settings.ip
-        extension_s = RECEIVE_EXTENSION_S if self._is_receiving() else 0.0
-        max_age_s = MAX_AGE_S + extension_s
-        timeout_s = (FAILOVER_TIMEOUT_S if self._failovers else MAX_AGE_S) + extension_s
-        stale = self.age_s > max_age_s and now - self._followed_since > timeout_s
-        if self._reader is not None and stale:
-            self._links.suspect(self._reader, f"rows are {self.age_s:.2f} s old")
-            self._failovers += 1
-            self._unfollow()
+        self._check_reader()
         candidate = self._preferred_reader()
-        if candidate == own_ip and (self._reader is None or now > self._follow_until):
-            self._unfollow()
-        elif candidate != own_ip and (
-            self._reader is None or (candidate != self._reader and now > self._follow_until)
-        ):
+        may_change = self._reader is None or time.monotonic() > self._follow_until
+        if may_change and candidate not in (self._settings.ip, self._reader):
             self._follow(candidate)
-        waited_s = now - self._followed_since
-        if self._reader is None or self._subscribers or min(waited_s, self.age_s) > max_age_s:
+        if self._reader is None:
+            if self._is_own_turn():
+                self._start_reading()
+        elif may_change and candidate == self._settings.ip:
+            # Followed until the own calls succeed, so that the followers' rows do not become old.
             self._start_reading()
-        elif self._failovers >= FAILOVERS_BEFORE_DIRECT_READ and self.age_s > MAX_AGE_S:
-            self._read_directly()
-        elif self._reader_is_fresh:
+            if self._reads_succeed():
+                self._unfollow()
+        elif self.age_s > MAX_AGE_S:
+            if self._failovers >= self._failovers_before_direct_read() and self._is_own_turn():
+                self._read_directly()
+        elif self._reader_is_fresh and self._read_tasks:
             self._stop_reading()
+            self._delay_change()
+
+    def _check_reader(self) -> None:
+        """Give up a reader that has not delivered fresh rows in time."""
+        failing = self._is_failing()
+        extension_s = RECEIVE_EXTENSION_S if self._is_receiving() else 0.0
+        max_age_s = (MAX_RELAY_AGE_S if failing else MAX_AGE_S) + extension_s
+        timeout_s = self._failover_timeout_s(failing) + extension_s
+        followed_s = time.monotonic() - self._followed_since
+        if self._reader is not None and self.age_s > max_age_s and followed_s > timeout_s:
+            self._give_up_reader()
+
+    def _delay_change(self) -> None:
+        """Set the time from which this balancer may change to a reader of higher rank."""
+        self._follow_until = time.monotonic() + self._rng.uniform(MIN_FOLLOW_S, MAX_FOLLOW_S)
+
+    def _failovers_before_direct_read(self) -> int:
+        alone = len(self._members.regions()) == 1
+        return MIN_FAILOVERS_BEFORE_DIRECT_READ if alone else MAX_FAILOVERS_BEFORE_DIRECT_READ
+
+    def _failover_timeout_s(self, failing: bool) -> float:
+        """Return how long the current reader has to deliver fresh rows, in seconds."""
+        if self._reader in self._stale_since:
+            return EXHAUSTED_FAILOVER_TIMEOUT_S
+        if failing:
+            return RELAY_FAILOVER_TIMEOUT_S
+        return FAILOVER_TIMEOUT_S if self._failovers else MAX_AGE_S
+
+    def _give_up_reader(self) -> None:
+        """Stop following a reader without fresh rows; suspect it if it is silent as well."""
+        now = time.monotonic()
+        reason = f"rows are {self.age_s:.2f} s old"
+        if self._heard_at < self._followed_since or now - self._heard_at > MAX_AGE_S:
+            self._links.suspect(self._reader, reason)
+        eventlog.event(
+            "reader.given-up", reader=self._reader, reason=reason, failovers=self._failovers
+        )
+        if not self._failovers:
+            self._connect_to_candidates()
+        self._stale_since[self._reader] = now
+        self._failovers += 1
+        self._unfollow()
+
+    def _connect_to_candidates(self) -> None:
+        """Connect to all candidates, so that the next failovers skip those that are down."""
+        for ip in self._candidates(self._is_failing()):
+            if ip != self._settings.ip and self._links.available(ip):
+                self._connect_tasks.append(asyncio.ensure_future(self._try_to_connect(ip)))
+        self._connect_tasks = [task for task in self._connect_tasks if not task.done()]
+
+    async def _try_to_connect(self, peer: str) -> None:
+        with contextlib.suppress(exceptions.PeerUnavailable):
+            # A failure is logged and makes the peer unavailable.
+            await self._links.get_or_connect(peer)
+
+    def _is_own_turn(self) -> bool:
+        """Return whether this balancer may read the store although nobody follows it.
+
+        In a deployment of several regions, turns keep the link between them from being saturated.
+        """
+        if len(self._members.regions()) == 1:
+            return True
+        rank = self._rank(self._settings.region).index(self._settings.ip)
+        copies = [self._copies[table] for table in self._required_tables]
+        table_bytes = sum(len(row.value) for copy in copies for row in copy.rows.values())
+        delay_s = readers.turn_delay_s(rank, max(table_bytes, MIN_TABLE_BYTES))
+        if self._reader is None:
+            delay_s = min(delay_s, MAX_LONE_TURN_DELAY_S)
+        stale_since = max(self._started_at, self._fresh_at + MAX_AGE_S)
+        return time.monotonic() - stale_since >= delay_s
 
     def _is_receiving(self) -> bool:
         """Return whether a frame of the reader is arriving."""
@@ -338,27 +449,57 @@
             self._start_reading()
 
     def _preferred_reader(self) -> str:
-        """Return the available balancer that ranks first.
+        """Return the balancer to follow, this one if it is to read the store itself."""
+        if self._reader is None and self._subscribers and self._reads_succeed():
+            # Followers must not depend on two balancers; they return to the first one by and by.
+            return self._settings.ip
+        now = time.monotonic()
+        for ip, since in list(self._stale_since.items()):
+            if now - since > STALE_READER_PAUSE_S:
+                del self._stale_since[ip]
+        followers = {peer_link.peer for peer_link in self._subscribers}
+        failing = self._is_failing()
+        return readers.choose_reader(
+            self._candidates(failing),
+            self._settings.ip,
+            failing,
+            self._stale_since,
+            lambda ip: ip not in followers and self._links.available(ip),
+        )
 
-        While its own calls to the store fail, returns this balancer only if no other is available.
-        """
-        own_ip = self._settings.ip
-        job = f"reader {self._settings.region}"
-        ranking = election.ranking(job, self._members.eligible(self._settings.region))
-        failing = self._read_tasks and self.age_s > MAX_AGE_S
-        for ip in ranking:
-            if ip == own_ip and not failing:
-                return own_ip
-            if ip != own_ip and self._links.available(ip):
-                return ip
-        return own_ip
+    def _candidates(self, failing: bool) -> list[str]:
+        own_region = self._settings.region
+        others = sorted(self._members.regions() - {own_region})
+        remote = [self._rank(region) for region in others]
+        return readers.list_candidates(self._settings.ip, self._rank(own_region), remote, failing)
+
+    def _rank(self, region: str) -> list[str]:
+        """Return the balancers of a region in the order in which they may read the store."""
+        if self._ranks_revision != self._members.revision:
+            self._ranks_revision = self._members.revision
+            self._ranks.clear()
+        if region not in self._ranks:
+            eligible, all_members = self._members.eligible(region), self._members.in_region(region)
+            self._ranks[region] = readers.rank_balancers(region, eligible, all_members)
+        return self._ranks[region]
+
+    def _reads_succeed(self) -> bool:
+        """Return whether this balancer's own calls to the store succeed."""
+        oldest = min(self._read_at.get(t, float("-inf")) for t in self._required_tables)
+        return bool(self._read_tasks) and time.monotonic() - oldest < MAX_AGE_S
+
+    def _is_failing(self) -> bool:
+        """Return whether this balancer's own calls to the store fail."""
+        failed = all(self._failed_calls[table] for table in self._required_tables)
+        late = min(self.age_s, time.monotonic() - self._reading_since) > MAX_AGE_S
+        return bool(self._read_tasks) and (failed or late)
 
     def _follow(self, reader: str) -> None:
         self._unfollow()
         self._reader = reader
         self._reader_is_fresh = False
         self._followed_since = time.monotonic()
-        self._follow_until = self._followed_since + self._rng.uniform(MIN_FOLLOW_S, MAX_FOLLOW_S)
+        self._delay_change()
         eventlog.event("reader.chosen", reader=reader, age_s=self.age_s)
         # Keeps a reference, because a task without one may be garbage-collected.
         self._subscribe_task = asyncio.ensure_future(self._subscribe_to(reader))
@@ -368,6 +509,7 @@
             peer_link = await self._links.get_or_connect(reader)
         except exceptions.PeerUnavailable:
             if self._reader == reader:
+                self._stale_since[reader] = time.monotonic()
                 self._reader = None
                 self._failovers += 1
             return
@@ -386,6 +528,7 @@
 
     def _start_reading(self, tables: Iterable[str] | None = None) -> None:
         if not self._read_tasks:
+            self._reading_since = time.monotonic()
             eventlog.event(
                 "store.reading-started",
                 reader=self._reader,
@@ -404,6 +547,8 @@
         for task in self._read_tasks.values():
             task.cancel()
         self._read_tasks.clear()
+        self._failed_calls.clear()
+        self._read_at.clear()
 
     async def _read_feed(self, table: str) -> None:
         """Follow the feed of one table until cancelled."""
@@ -427,14 +572,15 @@
                 continue
             except exceptions.StoreUnavailable as error:
                 failures += 1
+                self._failed_calls[table] = failures
                 if failures == 1:
                     eventlog.event("store.lost", table=table, error=error, age_s=self.age_s)
-                delay_s = min(MAX_RETRY_DELAY_S, MIN_RETRY_DELAY_S * 2 ** (failures - 1))
-                await asyncio.sleep(delay_s * (1 + self._rng.random()))
+                await asyncio.sleep(self._retry_delay_s(failures))
                 continue
             if failures:
                 eventlog.event("store.regained", table=table, failures=failures)
-            failures = 0
+            failures = self._failed_calls[table] = 0
+            self._read_at[table] = time.monotonic()
             complete = copy.version < 0 or relist
             relisted, relist = relist, False
             self._merge_rows(table, page, complete, STORE, time.monotonic())
@@ -511,8 +657,16 @@
             now = time.monotonic()
             frame = frames.Rows(table, after, copy.version, encoded, now - copy.fresh_at, now)
             data = frames.encode(frame)
-        if table != members.TABLE:
-            data += frames.encode(self._table_ages())
+        if table == members.TABLE:
+            for peer_link in self._subscribers:
+                peer_link.send_encoded(data)
+        else:
+            self._broadcast(data)
+
+    def _broadcast(self, data: bytes) -> None:
+        """Send encoded frames and the ages of the tables to all subscribers."""
+        self._forwarded_fresh_at = self._fresh_at
+        data += frames.encode(self._table_ages())
         for peer_link in self._subscribers:
             peer_link.send_encoded(data)
 
--- a/waxwingspool/fleet/tests/model.py
+++ b/waxwingspool/fleet/tests/model.py
@@ -16,6 +16,7 @@
 
 from standins import virtual
 from waxwingspool.catalog import node
+from waxwingspool.dispatch import election
 from waxwingspool.fleet import frames, link, members, tables
 from waxwingspool.fleet import store as store_client
 from waxwingspool.platform import store
@@ -323,7 +324,7 @@
         }
         for balancer in self.balancers.values():
             self.put(members.TABLE, balancer.ip, members.encode(balancer.settings))
-        ranking = tables.election.ranking("reader a", list(self.balancers)[:readers])
+        ranking = election.ranking("reader a", list(self.balancers)[:readers])
         self.readers = [self.balancers[ip] for ip in ranking]
         self.put("op", "config", configuration(routes))
         self.loop.create_task(self._change_servers())
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -171,7 +171,9 @@
 
     async def test_stale_reader_is_suspected_and_store_is_read_directly(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+        with mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
+        ):
             self.tables._select_reader()
             self.assertEqual(READER_IP, self.tables.reader)
             self.assertFalse(self.tables.is_reading)
@@ -194,7 +196,7 @@
         self.receive("op", None, 4)
         self.receive("servers", None, 4)
         with mock.patch.object(
-            tables.election, "ranking", lambda job, ips: [READER_IP, second_ip, OWN_IP]
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, second_ip, OWN_IP]
         ):
             self.tables._select_reader()
             while not self.tables.is_reading and self.now < changed_at + 10:
@@ -208,7 +210,9 @@
     async def test_reader_is_suspected_only_later_while_its_frame_arrives(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
         self.links.get.return_value.receiving = True
-        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+        with mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
+        ):
             for table in ("op", "servers"):
                 self.receive(table, None, 4)
             self.tables._select_reader()
@@ -224,7 +228,9 @@
     async def test_direct_reads_continue_until_a_reader_is_fresh(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
         peer_link = mock.Mock(peer=READER_IP)
-        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+        with mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
+        ):
             self.tables._select_reader()
             self.tables._failovers = 2
             self.tables._select_reader()
@@ -241,7 +247,9 @@
 
     async def test_age_reported_by_the_reader_is_adopted(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+        with mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
+        ):
             self.tables._select_reader()
         self.receive("op", None, 4)
         self.receive("servers", None, 4)
@@ -253,7 +261,9 @@
 
     async def test_time_that_frames_wait_on_the_way_counts_as_age(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+        with mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
+        ):
             self.tables._select_reader()
         peer_link = link.Link(READER_IP, mock.Mock(), mock.Mock())
         clock_difference_s = 500.0
@@ -268,7 +278,9 @@
 
     async def test_listing_is_requested_from_a_reader_that_is_ahead(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+        with mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
+        ):
             self.tables._select_reader()
         peer_link = mock.Mock(peer=READER_IP)
         self.tables.receive_table_ages(peer_link, frames.TableAges({"op": (9, 0.1)}))
@@ -276,7 +288,9 @@
 
     async def test_version_without_changes_reaches_subscribers_without_a_listing(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(tables.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]):
+        with mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
+        ):
             self.tables._select_reader()
         subscriber = mock.Mock()
         self.receive("op", None, 4, ("config", 4, b"x"))
