Let the first call of a new reader return at once

Callers saw old configurations after a failover: a balancer that took over as reader began with a call that waits 0.9 s for changes, so a table without changes was confirmed only after that, while followers give a new reader 0.4 s and went on to the next one. The first call after the start of reading now asks not to wait. Cost: one call a table and takeover. The test failed before ([0.9, 0.9] instead of [0.0, 0.9]).

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -556,7 +556,9 @@
         failures = 0
         relist = False
         relisted = False
-        wait_s = MEMBERS_LONG_POLL_S if table == members.TABLE else FEED_LONG_POLL_S
+        long_poll_s = MEMBERS_LONG_POLL_S if table == members.TABLE else FEED_LONG_POLL_S
+        # The first call returns at once, because followers wait for rows to be confirmed.
+        wait_s = 0.0
         while True:
             try:
                 if copy.version < 0 or relist:
@@ -580,6 +582,7 @@
             if failures:
                 eventlog.event("store.regained", table=table, failures=failures)
             failures = self._failed_calls[table] = 0
+            wait_s = long_poll_s
             self._read_at[table] = time.monotonic()
             complete = copy.version < 0 or relist
             relisted, relist = relist, False
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -137,6 +137,22 @@
         self.assertGreater(self.client.total_listings, before)
         self.tables._stop_reading()
 
+    async def test_first_call_of_a_new_reader_does_not_wait_for_changes(self) -> None:
+        waits_s = []
+
+        async def get_changes(table: str, after: int, wait_s: float) -> store.Page:
+            waits_s.append(wait_s)
+            await asyncio.sleep(0)
+            return store.Page((), after, False)
+
+        self.client.get_changes = get_changes
+        self.receive("op", None, 4)
+        self.tables._start_reading(("op",))
+        while len(waits_s) < 2:
+            await asyncio.sleep(0)
+        self.tables._stop_reading()
+        self.assertEqual([0.0, tables.FEED_LONG_POLL_S], waits_s[:2])
+
     async def test_repeatedly_gone_history_is_relisted_only_after_a_delay(self):
         delays = []
 
