List the members until it succeeds before any table is read

Callers saw old configurations after a mass restart: a balancer whose one listing of the members failed knew nobody else, took itself for the only balancer of the deployment and read all tables. The listing is now repeated with the delays of other failed calls. While it fails nothing else could be read either. The test failed before (op and servers are listed after one failure).

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -328,13 +328,22 @@
     # Selection of a reader
 
     async def _list_members(self) -> None:
-        """Read the members once, so that a reader can be selected from them."""
-        try:
-            page = await self._client.get_listing(members.TABLE)
-        except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
-            eventlog.event("members.not-listed", error=error)
+        """Read the members, so that a reader can be selected from them.
+
+        Without them, every balancer that starts would take itself for the only one and read all
+        tables.
+        """
+        failures = 0
+        while True:
+            try:
+                page = await self._client.get_listing(members.TABLE)
+            except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
+                failures += 1
+                eventlog.event("members.not-listed", error=error, failures=failures)
+                await asyncio.sleep(self._retry_delay_s(failures))
+                continue
+            self._merge_rows(members.TABLE, page, True, STORE, time.monotonic())
             return
-        self._merge_rows(members.TABLE, page, True, STORE, time.monotonic())
 
     def _retry_delay_s(self, failures: int) -> float:
         """Return how long to wait after a number of consecutive failed calls, in seconds."""
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -153,6 +153,25 @@
         self.tables._stop_reading()
         self.assertEqual([0.0, tables.FEED_LONG_POLL_S], waits_s[:2])
 
+    async def test_balancer_that_cannot_list_the_members_does_not_read_all_tables(self) -> None:
+        listed = []
+
+        async def get_listing(table: str) -> store.Page:
+            listed.append(table)
+            if len(listed) < 4:
+                raise exceptions.StoreUnavailable("busy")
+            return store.Page((), 1, False)
+
+        self.client.get_listing = get_listing
+        real_sleep = asyncio.sleep
+        with mock.patch.object(tables.asyncio, "sleep", lambda _: real_sleep(0)):
+            task = asyncio.create_task(self.tables.run())
+            while len(listed) < 5:
+                await real_sleep(0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual([members.TABLE] * 4, listed[:4])
+
     async def test_repeatedly_gone_history_is_relisted_only_after_a_delay(self):
         delays = []
 
