Believe a refusal on a kept connection only with the id of the request

A faulty upstream that writes an earlier refusal once more, without the request's id, had it taken for the next request's: callers were told "not run" for what the upstream was running (REFUSED), and requests that may not be repeated went on to a second upstream. With another id it was skipped already. Such a refusal now counts as no proof, so a request that may have run ends with 502. On the first exchange of a connection there is no earlier refusal, and it is believed without an id as before.

--- a/waxwingspool/proxy/exchange.py
+++ b/waxwingspool/proxy/exchange.py
@@ -231,9 +231,9 @@
 
 
 def _is_refusal(response: upstream.Response, names: header_names.HeaderNames) -> bool:
-    """Whether the head says that the upstream did not run the request."""
+    """Whether the head says that the upstream did not run this request."""
     is_marked = message.get_header(response.headers, names.not_run) is not None
-    return is_marked or response.status == _MISDIRECTED
+    return response.attributed and (is_marked or response.status == _MISDIRECTED)
 
 
 def _has_proof(response: upstream.Response, names: header_names.HeaderNames) -> bool:
--- a/waxwingspool/proxy/tests/test_upstream.py
+++ b/waxwingspool/proxy/tests/test_upstream.py
@@ -138,6 +138,27 @@
         self.assertTrue(response.body.complete)
         self.assertFalse(connection.finish())
 
+    async def test_head_cut_off_at_any_byte_is_no_response(self) -> None:
+        heads = response_bytes(b"one", b""), CHUNKED_HEAD % b"one", b"HTTP/1.1 200 OK\r\n\r\n"
+        for head in heads:
+            for end in range(len(head)):
+                connection = self.start_exchange()
+                connection.data_received(b"HTTP/1.1 103 Early Hints\r\n\r\n" + head[:end])
+                connection.eof_received()
+                connection.connection_lost(None)
+                with self.subTest(head=head, end=end), self.assertRaises(upstream.Broken):
+                    await connection.read_response()
+
+    async def test_refusal_without_id_on_a_kept_connection_is_not_attributed(self) -> None:
+        refusal = b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+        connection = self.start_exchange()
+        connection.data_received(refusal)
+        self.assertTrue((await connection.read_response()).attributed)
+        self.assertTrue(connection.finish())
+        connection.send_head(b"GET / HTTP/1.1\r\n\r\n", b"two")
+        connection.data_received(refusal)
+        self.assertFalse((await connection.read_response()).attributed)
+
     async def test_white_space_after_the_request_id_is_not_part_of_it(self) -> None:
         connection = self.start_exchange()
         connection.data_received(response_bytes(b"one \t", b"abc"))
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -41,6 +41,8 @@
     """A response whose head has been received.
 
     :ivar reusable: whether the connection can carry another request once the body is complete.
+    :ivar attributed: whether the response can only be that of the current request: it carries the
+        request's id, or the connection has carried no other request.
     """
 
     def __init__(self, status: int, reason: bytes, headers: message.Headers, stream: body.Body):
@@ -49,6 +51,7 @@
         self.headers = headers
         self.body = stream
         self.reusable = False
+        self.attributed = False
 
     @property
     def length(self) -> int | None:
@@ -93,6 +96,7 @@
         self._skipping = False
         self._overhead_allowance = 0
         self._skip_allowance = 0
+        self._exchanges = 0
         self._drain_waiter: asyncio.Future | None = None
         self._invalid = False
         self._reusable = True
@@ -185,6 +189,7 @@
         transport = self._transport
         stream = body.Body(transport.pause_reading, transport.resume_reading)
         self._response = Response(status, self._reason, self._headers, stream)
+        self._response.attributed = self._exchanges == 1 or self._get_response_id() is not None
         if not self._response_future.done():
             self._response_future.set_result(self._response)
 
@@ -215,6 +220,7 @@
         """
         self._parser = httptools.HttpResponseParser(self)
         self._expected_id = request_id
+        self._exchanges += 1
         self._response = None
         self._overhead_allowance = MAX_HEAD_BYTES
         self._skip_allowance = MAX_SKIPPED_BYTES
@@ -262,10 +268,14 @@
 
     def _has_other_request_id(self) -> bool:
         """Whether the response carries the id of another request."""
-        if self._expected_id is None or self._id_header is None:
-            return False
-        response_id = message.get_header(self._headers, self._id_header)
-        return response_id is not None and response_id != self._expected_id
+        response_id = self._get_response_id()
+        return None not in (response_id, self._expected_id) and response_id != self._expected_id
+
+    def _get_response_id(self) -> bytes | None:
+        """Return the request id that the response carries, ``None`` if it carries none."""
+        if self._id_header is None:
+            return None
+        return message.get_header(self._headers, self._id_header)
 
     def _complete(self) -> None:
         response = self._response
