Refuse requests that come late in a planned stop instead of passing them on

Callers whose requests came late in the grace time of a stopping balancer, or waited then for a slot or for the rest of their body, had them passed on to an upstream; at the end of the grace time they were cut without a response, also those that may not be repeated (LOST). From 3 s after the signal, when the platform no longer routes to the balancer, and whenever the latency objective of the route does not fit into the remaining grace time, nothing is sent to an upstream any more: 503, not run, at once.

--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -70,12 +70,16 @@
             self._create_retry_budget,
             self._splitter,
             lambda: self._tables.age_s,
+            self._may_send,
         )
         self._prober = probes.Prober(
             node_settings.ip, self._slot_manager, self._get_health_path, headers.HEADER_NAMES
         )
         self._connections: set[caller.Connection] = set()
         self._stopping = asyncio.Event()
+        # Event loop time from which no request is sent to an upstream, and at which the remaining
+        # connections are aborted, in seconds.
+        self._drains_at = self._cuts_at = float("inf")
 
     async def run(self) -> None:
         """Serve until the process is asked to stop."""
@@ -124,6 +128,11 @@
             self._describe_configuration,
         )
 
+    def _may_send(self, objective_s: float) -> bool:
+        """Return whether a request sent to an upstream now is likely to end before a stop."""
+        now = asyncio.get_running_loop().time()
+        return now < self._drains_at and now + objective_s < self._cuts_at
+
     def _get_limits(self) -> routes.Limits:
         table = self._view.route_table
         return routes.UNCONFIGURED_LIMITS if table is None else table.limits
@@ -233,14 +242,15 @@
         """Shut down: fail readiness checks, drain requests in flight, close all connections."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        ends_at = started_at + self._settings.bounds.grace_s - GRACE_MARGIN_S
+        self._cuts_at = started_at + self._settings.bounds.grace_s - GRACE_MARGIN_S
+        self._drains_at = started_at + LAME_DUCK_S
         self._log_shutdown("process.stopping", started_at)
         self._links.broadcast(frames.Leaving())
         self._slot_manager.stop_granting()
         await asyncio.sleep(LAME_DUCK_S)
         servers[0].close()
         self._log_shutdown("process.closing-connections", started_at)
-        while loop.time() < ends_at:
+        while loop.time() < self._cuts_at:
             for connection in list(self._connections):
                 connection.close_if_idle()
             if not self._forwarder.in_flight and not self._connections:
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -35,6 +35,8 @@
 # Slowest average rate after the deadline of a response with a length, in bytes per second.
 MIN_LATE_RATE = 16 * 1024
 
+_STOPPING = "the balancer is stopping"
+
 
 class DeploymentState(Protocol):
     """The state of the deployment that the forwarder reads."""
@@ -84,6 +86,8 @@
     :param create_budget: returns a new retry budget for a service.
     :param splitter: picks the service for each request of a route that is split between services.
     :param get_age_s: returns the age of the state in seconds, for the log.
+    :param may_send: whether a request with a latency objective in seconds may be sent to an
+        upstream; not if the process is likely to stop before the response.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         create_budget: Callable[[], budget.RetryBudget],
         splitter: split.Splitter,
         get_age_s: Callable[[], float],
+        may_send: Callable[[float], bool],
     ) -> None:
         self._state = state
         self._slot_manager = slot_manager
@@ -104,6 +109,7 @@
         self._budgets: dict[str, budget.RetryBudget] = {}
         self._splitter = splitter
         self._get_age_s = get_age_s
+        self._may_send = may_send
         self.in_flight = 0
 
     async def handle(self, connection: caller.Connection, request: caller.Request) -> None:
@@ -146,6 +152,9 @@
             name = self._header_names.request_id.decode()
             self._reject(connection, request, 400, f"the header {name} is missing")
             return None
+        if not self._may_send(route.objective_s):
+            self._reject(connection, request, 503, _STOPPING)
+            return None
         caller_timeout_s = self._get_caller_timeout_s(request, route)
         deadline = request.arrived_at + min(route.timeout_s, caller_timeout_s)
         service = self._splitter.pick(route)
@@ -233,10 +242,17 @@
         if remaining_s < MIN_REMAINING_S:
             self._refuse(context, 0.0, "no time is left")
             return None
+        if not self._may_send(context.route.objective_s):
+            self._refuse(context, 0.0, _STOPPING)
+            return None
         slot = await self._acquire_slot(context, remaining_s)
         if isinstance(slot, slots.Refused):
             self._refuse(context, slot.retry_after_s, slot.reason)
             return None
+        if not self._may_send(context.route.objective_s):
+            self._slot_manager.release(slot, health.Report(health.Outcome.UNUSED))
+            self._refuse(context, 0.0, _STOPPING)
+            return None
         if context.route.idempotent and context.request.body.complete:
             return await self._send_hedged(context, slot)
         return await self._send(context, slot)
@@ -331,7 +347,9 @@
     async def _acquire_hedge_slot(self, context: _RequestContext) -> slots.Slot | None:
         """Return a slot for a second attempt, ``None`` if there is none or no retry is allowed."""
         remaining_s = context.deadline - asyncio.get_running_loop().time()
-        if remaining_s < MIN_REMAINING_S or not self._consume_retry(context):
+        if remaining_s < MIN_REMAINING_S or not self._may_send(context.route.objective_s):
+            return None
+        if not self._consume_retry(context):
             return None
         slot = await self._acquire_slot(context, remaining_s, hedge=True)
         return slot if isinstance(slot, slots.Slot) else None
--- a/waxwingspool/proxy/tests/test_endless.py
+++ b/waxwingspool/proxy/tests/test_endless.py
@@ -125,6 +125,7 @@
             lambda: budget.RetryBudget(0.2, 50.0, 10.0, float("-inf")),
             mock.Mock(spec=split.Splitter, pick=lambda route: "tags"),
             lambda: 0.0,
+            lambda objective_s: True,
         )
 
     def request(self, *scripts: Script, kind: routes.Kind = routes.Kind.IDEMPOTENT) -> bytes:
--- a/waxwingspool/proxy/tests/test_forward.py
+++ b/waxwingspool/proxy/tests/test_forward.py
@@ -33,7 +33,7 @@
         self.sent: list[str] = []
         self.kind = routes.Kind.IDEMPOTENT
 
-    def make_forwarder(self) -> forward.Forwarder:
+    def make_forwarder(self, may_send=lambda objective_s: True) -> forward.Forwarder:
         weighted_services = (routes.WeightedService("tags", 1.0),)
         route = routes.Route(
             "r", "a", "/t/", self.kind, weighted_services, TIMEOUT_S, OBJECTIVE_S, 2, 1
@@ -50,6 +50,7 @@
             lambda: budget.RetryBudget(0.2, 50.0, 10.0, float("-inf")),
             mock.Mock(spec=split.Splitter, pick=lambda route: "tags"),
             lambda: 0.25,
+            may_send,
         )
 
     async def send(self, attempt: exchange.Attempt, *_: object) -> exchange.Result:
@@ -118,6 +119,23 @@
         await self.forward_request(straggler=True)
         self.assertEqual(["u1"], self.sent)
 
+    async def test_request_that_comes_late_in_a_planned_stop_is_refused_and_not_sent(self) -> None:
+        connection = mock.Mock(disconnected=False)
+        await self.make_forwarder(lambda _: False).handle(connection, make_request())
+        self.assertEqual(503, connection.respond.call_args.args[1])
+        self.slot_manager.acquire.assert_not_called()
+
+    async def test_request_that_waits_for_a_slot_during_a_planned_stop_is_not_sent(self) -> None:
+        connection = mock.Mock(disconnected=False, response_started=False)
+        connection.connection_closed = asyncio.get_running_loop().create_future()
+        may_send = mock.Mock(side_effect=[True, True, False])
+        with mock.patch.object(exchange, "send", self.send):
+            await self.make_forwarder(may_send).handle(connection, make_request())
+        self.assertEqual(503, connection.respond.call_args.args[1])
+        self.assertEqual([], self.sent)
+        report = self.slot_manager.release.call_args.args[1]
+        self.assertIs(health.Outcome.UNUSED, report.outcome)
+
     async def test_unmatched_route_is_logged_with_version_and_age_of_the_configuration(
         self,
     ) -> None:
--- a/waxwingspool/proxy/tests/test_responses.py
+++ b/waxwingspool/proxy/tests/test_responses.py
@@ -60,6 +60,7 @@
             lambda: budget.RetryBudget(0.2, 50.0, 10.0, float("-inf")),
             mock.Mock(pick=lambda route: "tags"),
             lambda: 0.0,
+            lambda objective_s: True,
         )
         connections: set[caller.Connection] = set()
         self.balancer = await asyncio.get_running_loop().create_server(
