Count the age of rows from the store's answer, not from its arrival

Callers saw requests handled by an old configuration at balancers that took their rows for fresh: a response of the store, and the first frames of a new link, counted as confirmed when they arrived, however long they had waited on a link.

The store tells its steady clock with each answer; the client relates it to its own from the times at which it sent its calls. A subscriber tells its time in the subscription and the reader returns it, so the first frame is no younger than the request. Cost: 9 bytes a subscription and its reply, no call.

test_rows_that_waited_on_a_link_are_not_taken_for_fresh failed before (2.5 s younger than they were; bound 0.1 s), test_response_that_waited_on_its_way_is_as_old_as_when_the_store_answered is new.

--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import random
+import time
 import urllib.parse
 
 from standins.deployment import web
@@ -127,5 +128,10 @@
     def _response(self, rows: list[dict], version: int | None = None) -> tuple[int, list, bytes]:
         if version is None:
             version = self.version
-        body = {"rows": rows, "ver": version, "now-ms": 0, "has-more": False}
+        body = {
+            "rows": rows,
+            "ver": version,
+            "now-ms": int(time.monotonic() * 1000),
+            "has-more": False,
+        }
         return 200, [(b"content-type", b"application/json")], json.dumps(body).encode()
--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -109,17 +109,22 @@
 
 
 class Subscribe(msgspec.Struct, array_like=True, tag=7):
-    """Subscribes to rows; ``versions`` holds the version of each table that the sender has."""
+    """Subscribes to rows; ``versions`` holds the version of each table that the sender has.
+
+    ``sent_at`` is the sender's monotonic time in seconds.
+    """
 
     versions: dict[str, int]
+    sent_at: float | None = None
 
 
 class Rows(msgspec.Struct, array_like=True, tag=8):
     """Rows of a table as key, version and value; the value of a deleted row is ``None``.
 
     ``after`` is the version of the table before these changes, ``None`` for a complete listing.
-    ``age_s`` is the time in seconds since the store confirmed this version to the sender, and
-    ``sent_at`` the sender's monotonic time in seconds.
+    ``age_s`` is the time in seconds since the store confirmed this version to the sender,
+    ``sent_at`` the sender's monotonic time in seconds, and ``requested_at`` that of the receiver
+    in the ``Subscribe`` frame to which this is the reply.
     """
 
     table: str
@@ -128,16 +133,18 @@
     rows: list[tuple[str, int, bytes | None]]
     age_s: float = 0.0
     sent_at: float | None = None
+    requested_at: float | None = None
 
 
 class TableAges(msgspec.Struct, array_like=True, tag=9):
     """Version and age in seconds of the sender's tables, except the members' table.
 
-    ``sent_at`` is the sender's monotonic time in seconds.
+    ``sent_at`` and ``requested_at`` are those of :class:`Rows`.
     """
 
     ages: dict[str, tuple[int, float]]
     sent_at: float | None = None
+    requested_at: float | None = None
 
 
 class Unsubscribe(msgspec.Struct, array_like=True, tag=10):
--- a/waxwingspool/fleet/link.py
+++ b/waxwingspool/fleet/link.py
@@ -15,7 +15,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
-from waxwingspool.fleet import frames
+from waxwingspool.fleet import clock, frames
 from waxwingspool.observe import eventlog
 
 __all__ = ["Link", "Links", "listen"]
@@ -25,8 +25,6 @@
 CONNECT_TIMEOUT_S = 0.35
 # Longest pause, in seconds, within a frame that is still being received: one lost packet.
 RECEIVE_PAUSE_S = 0.25
-# Largest difference in rate between the clocks of two VMs, in seconds per second.
-MAX_CLOCK_DRIFT = 0.001
 # Shortest and longest time for which a suspected peer is not used, in seconds.
 MIN_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 4.0
@@ -54,10 +52,7 @@
         self._on_lost = on_lost
         self._buffer = bytearray()
         self._received_at = float("-inf")
-        # Shortest time between sending and receipt of a frame, in seconds, plus the unknown
-        # difference of the two monotonic clocks; and when it was last updated.
-        self._min_transit_s = float("inf")
-        self._transit_at = 0.0
+        self._clock = clock.RemoteClock()
         self._transport: asyncio.Transport | None = None
 
     @property
@@ -70,17 +65,15 @@
         """Whether a frame has been received in part and its bytes still arrive."""
         return bool(self._buffer) and time.monotonic() - self._received_at < RECEIVE_PAUSE_S
 
-    def queued_s(self, sent_at: float) -> float:
-        """Return how much longer a frame was on its way than the fastest one of this link.
+    def to_local_time(self, sent_at: float, requested_at: float | None) -> float:
+        """Return this VM's monotonic time at which a frame was sent, in seconds.
 
         :param sent_at: the peer's monotonic time in seconds at which it was sent.
+        :param requested_at: if it replies to a frame, the time at which this VM sent that one.
         """
-        now = time.monotonic()
-        transit_s = now - sent_at
-        drift_s = MAX_CLOCK_DRIFT * (now - self._transit_at)
-        self._min_transit_s = min(transit_s, self._min_transit_s + drift_s)
-        self._transit_at = now
-        return transit_s - self._min_transit_s
+        earliest = float("-inf") if requested_at is None else requested_at
+        self._clock.record(sent_at, time.monotonic(), earliest)
+        return self._clock.to_local(sent_at)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -1,13 +1,15 @@
 """Client of the metadata store; each concurrent call uses its own connection."""
 
 import asyncio
+import dataclasses
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
+from waxwingspool.fleet import clock
 from waxwingspool.platform import store
 from waxwingspool.proxy import message, upstream
 
-__all__ = ["HistoryGone", "StoreClient"]
+__all__ = ["HistoryGone", "Reading", "StoreClient"]
 
 # Shortest and longest response timeout, in seconds, added to the time that the call asks the store
 # to wait. The timeout doubles whenever it expires, because the store may be slow, and halves with
@@ -32,6 +34,18 @@
     """The store has discarded the changes after a version; the table must be listed again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """Rows that were read from the store.
+
+    :ivar confirmed_at: event loop time in seconds at which the store answered, at the earliest; the
+        response may have been on its way for long.
+    """
+
+    page: store.Page
+    confirmed_at: float
+
+
 class StoreClient:
     """Calls to the store.
 
@@ -45,18 +59,20 @@
         ip, port = settings.store_address
         self._host = f"{ip}:{port}".encode()
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
+        self._clock = clock.RemoteClock()
         self.calls = 0
 
-    async def get_listing(self, table: str) -> store.Page:
+    async def get_listing(self, table: str) -> Reading:
         """Return all rows of a table, with the version from which to follow its changes.
 
         :raises waxwingspool.exceptions.StoreUnavailable: the call failed.
         """
         rows: list[store.Row] = []
         start: str | None = None
-        version: int | None = None
+        first: Reading | None = None
         size = 0
         while True:
+            sent_at = asyncio.get_running_loop().time()
             data = await self._call(b"GET", store.listing_request(table, start), b"", 0.0)
             size += len(data)
             if size > MAX_LISTING_BYTES:
@@ -64,12 +80,13 @@
             page = store.decode_page(data)
             rows += page.rows
             # Later pages may be newer, so the feed continues from the version of the first.
-            version = page.version if version is None else version
+            first = first or self._to_reading(page, sent_at)
             if not page.has_more or not page.rows:
-                return store.Page(tuple(rows), version, False)
+                listing = store.Page(tuple(rows), first.page.version, False)
+                return Reading(listing, first.confirmed_at)
             start = page.rows[-1].key + "\0"
 
-    async def get_changes(self, table: str, after: int, wait_s: float) -> store.Page:
+    async def get_changes(self, table: str, after: int, wait_s: float) -> Reading:
         """Return the changes of a table after a version, as soon as there are any.
 
         :param wait_s: time in seconds after which the store responds without changes.
@@ -77,7 +94,20 @@
         :raises waxwingspool.exceptions.StoreUnavailable: the call failed.
         """
         target = store.changes_request(table, after, wait_s)
-        return store.decode_page(await self._call(b"GET", target, b"", wait_s))
+        sent_at = asyncio.get_running_loop().time()
+        page = store.decode_page(await self._call(b"GET", target, b"", wait_s))
+        waited = not page.rows and asyncio.get_running_loop().time() - sent_at >= wait_s
+        return self._to_reading(page, sent_at + wait_s if waited else sent_at)
+
+    def _to_reading(self, page: store.Page, answered_after: float) -> Reading:
+        """Return a page with the time at which the store answered.
+
+        :param answered_after: event loop time in seconds before which it did not answer.
+        """
+        if page.clock_s is None:
+            return Reading(page, answered_after)
+        self._clock.record(page.clock_s, asyncio.get_running_loop().time(), answered_after)
+        return Reading(page, self._clock.to_local(page.clock_s))
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write one row.
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -255,7 +255,7 @@
         """Handle a peer's frame about rows."""
         match frame:
             case frames.Subscribe():
-                self.add_subscriber(peer_link, frame.versions)
+                self.add_subscriber(peer_link, frame)
             case frames.Unsubscribe():
                 self._subscribers.discard(peer_link)
             case frames.Rows() if self.receive_rows(peer_link, frame):
@@ -265,11 +265,8 @@
             case frames.TableAges():
                 self.receive_table_ages(peer_link, frame)
 
-    def add_subscriber(self, peer_link: link.Link, versions: dict[str, int]) -> None:
-        """Forward rows to a peer from now on, first the changes that it has missed.
-
-        :param versions: version of each table that the peer has.
-        """
+    def add_subscriber(self, peer_link: link.Link, frame: frames.Subscribe) -> None:
+        """Forward rows to a peer from now on, first the changes that it has missed."""
         if peer_link not in self._subscribers:
             eventlog.event("beliefs.subscribed", peer=peer_link.peer)
         self._subscribers.add(peer_link)
@@ -281,9 +278,10 @@
             self._give_up_reader()
             self._select_reader()
         for table, copy in self._copies.items():
-            if versions.get(table, -1) < copy.version:
-                self._send_changes(peer_link, table, versions.get(table, -1))
-        peer_link.send(self._table_ages())
+            version = frame.versions.get(table, -1)
+            if version < copy.version:
+                self._send_changes(peer_link, table, version, frame.sent_at)
+        peer_link.send(self._table_ages(frame.sent_at))
 
     def receive_rows(self, peer_link: link.Link, frame: frames.Rows) -> bool:
         """Apply rows from a peer; return whether changes before them are missing."""
@@ -293,7 +291,7 @@
         rows = tuple(store.Row(key, value, version) for key, version, value in frame.rows)
         if frame.after is not None and frame.after > copy.version:
             return True
-        confirmed_at = _received_at(peer_link, frame) - frame.age_s
+        confirmed_at = _sent_at(peer_link, frame) - frame.age_s
         page = store.Page(rows, frame.version, False)
         self._merge_rows(frame.table, page, frame.after is None, peer_link.peer, confirmed_at)
         return False
@@ -303,7 +301,7 @@
         if peer_link.peer != self._reader:
             return
         self._heard_at = time.monotonic()
-        received_at = _received_at(peer_link, frame)
+        sent_at = _sent_at(peer_link, frame)
         for table, (version, age_s) in frame.ages.items():
             copy = self._copies.get(table)
             if copy is None:
@@ -311,7 +309,7 @@
             if version > copy.version:
                 peer_link.send(frames.ListingRequest(table))
             else:
-                self._mark_fresh(copy, received_at - age_s)
+                self._mark_fresh(copy, sent_at - age_s)
         if self.age_s < MAX_AGE_S and all(age_s < MAX_AGE_S for _, age_s in frame.ages.values()):
             self._failovers = 0
             self._reader_is_fresh = True
@@ -336,13 +334,13 @@
         failures = 0
         while True:
             try:
-                page = await self._client.get_listing(members.TABLE)
+                reading = await self._client.get_listing(members.TABLE)
             except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
                 failures += 1
                 eventlog.event("members.not-listed", error=error, failures=failures)
                 await asyncio.sleep(self._retry_delay_s(failures))
                 continue
-            self._merge_rows(members.TABLE, page, True, STORE, time.monotonic())
+            self._merge_rows(members.TABLE, reading.page, True, STORE, reading.confirmed_at)
             return
 
     def _retry_delay_s(self, failures: int) -> float:
@@ -523,7 +521,7 @@
                 self._failovers += 1
             return
         if self._reader == reader:
-            peer_link.send(frames.Subscribe(self.versions()))
+            peer_link.send(frames.Subscribe(self.versions(), time.monotonic()))
 
     def _unfollow(self) -> None:
         if self._reader is None:
@@ -571,9 +569,9 @@
         while True:
             try:
                 if copy.version < 0 or relist:
-                    page = await self._client.get_listing(table)
+                    reading = await self._client.get_listing(table)
                 else:
-                    page = await self._client.get_changes(table, copy.version, wait_s)
+                    reading = await self._client.get_changes(table, copy.version, wait_s)
             except store_client.HistoryGone:
                 eventlog.event("store.history-gone", table=table, version=copy.version)
                 if relisted:
@@ -592,11 +590,11 @@
                 eventlog.event("store.regained", table=table, failures=failures)
             failures = self._failed_calls[table] = 0
             wait_s = long_poll_s
-            self._read_at[table] = time.monotonic()
+            self._read_at[table] = reading.confirmed_at
             complete = copy.version < 0 or relist
             relisted, relist = relist, False
-            self._merge_rows(table, page, complete, STORE, time.monotonic())
-            if page.rows:
+            self._merge_rows(table, reading.page, complete, STORE, reading.confirmed_at)
+            if reading.page.rows:
                 await asyncio.sleep(BATCH_DELAY_S)
 
     # Applying rows
@@ -682,38 +680,49 @@
         for peer_link in self._subscribers:
             peer_link.send_encoded(data)
 
-    def _send_listing(self, peer_link: link.Link, table: str) -> None:
-        self._send_rows(peer_link, table, None, self._copies[table].rows.values())
+    def _send_listing(
+        self, peer_link: link.Link, table: str, requested_at: float | None = None
+    ) -> None:
+        self._send_rows(peer_link, table, None, self._copies[table].rows.values(), requested_at)
 
-    def _send_changes(self, peer_link: link.Link, table: str, after: int) -> None:
+    def _send_changes(
+        self, peer_link: link.Link, table: str, after: int, requested_at: float | None
+    ) -> None:
         """Send the changes after a version, or a complete listing if they are not known."""
         changes = self._copies[table].changes_after(after)
         if changes is None:
-            self._send_listing(peer_link, table)
+            self._send_listing(peer_link, table, requested_at)
         else:
-            self._send_rows(peer_link, table, after, changes)
+            self._send_rows(peer_link, table, after, changes, requested_at)
 
     def _send_rows(
-        self, peer_link: link.Link, table: str, after: int | None, rows: Iterable[store.Row]
+        self,
+        peer_link: link.Link,
+        table: str,
+        after: int | None,
+        rows: Iterable[store.Row],
+        requested_at: float | None,
     ) -> None:
         copy = self._copies[table]
         if copy.version < 0:
             return
         encoded = [(row.key, row.version, row.value) for row in rows]
         now = time.monotonic()
-        peer_link.send(frames.Rows(table, after, copy.version, encoded, now - copy.fresh_at, now))
+        age_s = now - copy.fresh_at
+        peer_link.send(frames.Rows(table, after, copy.version, encoded, age_s, now, requested_at))
 
-    def _table_ages(self) -> frames.TableAges:
+    def _table_ages(self, requested_at: float | None = None) -> frames.TableAges:
         now = time.monotonic()
         ages = {
             table: (copy.version, round(now - copy.fresh_at, 3))
             for table, copy in self._copies.items()
             if copy.version >= 0 and table != members.TABLE
         }
-        return frames.TableAges(ages, now)
+        return frames.TableAges(ages, now, requested_at)
 
 
-def _received_at(peer_link: link.Link, frame: frames.Rows | frames.TableAges) -> float:
-    """Return when a frame would have been received without waiting in buffers or on a link."""
-    now = time.monotonic()
-    return now if frame.sent_at is None else now - peer_link.queued_s(frame.sent_at)
+def _sent_at(peer_link: link.Link, frame: frames.Rows | frames.TableAges) -> float:
+    """Return this VM's monotonic time in seconds at which a peer sent a frame."""
+    if frame.sent_at is None:
+        return time.monotonic()
+    return peer_link.to_local_time(frame.sent_at, frame.requested_at)
--- a/waxwingspool/fleet/tests/model.py
+++ b/waxwingspool/fleet/tests/model.py
@@ -24,6 +24,8 @@
 
 __all__ = ["LARGE_MBPS", "Region", "SMALL_MBPS", "configuration"]
 
+# Tables that must be fresh.
+TABLES = "op", "servers"
 # Links of the VMs that may be readers and of the others, in megabits per second.
 LARGE_MBPS = 100.0
 SMALL_MBPS = 5.0
@@ -38,6 +40,8 @@
 # Bandwidth of the link into region ``a``, in megabits per second.
 REGION_MBPS = 1000.0
 USER_TIMEOUT_S = link.USER_TIMEOUT_MS / 1000
+# Time that the clock of the store is ahead of that of the balancers, in seconds.
+STORE_CLOCK_AHEAD_S = 500.0
 
 
 def configuration(routes: int, seed: int = 1) -> bytes:
@@ -260,7 +264,7 @@
             _StoreClient(self._region, self),
             self.links,
             membership,
-            ("op", "servers"),
+            TABLES,
             lambda update: self._apply(membership, update.table, update.rows),
             mock.Mock(),
         )
@@ -308,6 +312,8 @@
         self.loop.create_connection = self._connect
         self.version = self.store_calls = self.encoded = 0
         self.rows: dict[str, dict[str, store.Row]] = {"op": {}, "servers": {}, members.TABLE: {}}
+        # Version, table and time of each change.
+        self._put_at: list[tuple[int, str, float]] = []
         self._patches = [
             mock.patch.object(tables.time, "monotonic", self.loop.time),
             mock.patch.object(tables, "random", mock.Mock(Random=_seeded())),
@@ -347,6 +353,20 @@
         """Write a row to the store."""
         self.version += 1
         self.rows[table][key] = store.Row(key, value, self.version)
+        self._put_at.append((self.version, table, self.loop.time()))
+
+    def age_error_s(self) -> float:
+        """Return by how much a table of a balancer is older than the balancer takes it to be.
+
+        A table is as old as the oldest change of it that the balancer does not have.
+        """
+        now, error_s = self.loop.time(), 0.0
+        for balancer in self.balancers.values():
+            copies = balancer.tables.versions()
+            for version, table, put_at in self._put_at:
+                if table in TABLES and version > copies[table]:
+                    error_s = max(error_s, now - put_at - balancer.tables.age_s)
+        return error_s
 
     def changes(self, table: str, after: int) -> list[store.Row]:
         """Return the rows of a table that the store has after a version."""
@@ -358,7 +378,8 @@
             {"key": row.key, "ver": row.version, "value": base64.b64encode(row.value).decode()}
             for row in self.changes(table, after)
         ]
-        return json.dumps({"rows": rows, "ver": self.version}).encode()
+        now_ms = int((self.loop.time() + STORE_CLOCK_AHEAD_S) * 1000)
+        return json.dumps({"rows": rows, "ver": self.version, "now-ms": now_ms}).encode()
 
     def apply_configuration(self, routes: int, seconds: float = 8.0) -> float:
         """Accept a configuration; return the longest time until a balancer in touch has it."""
--- a/waxwingspool/fleet/tests/test_propagation.py
+++ b/waxwingspool/fleet/tests/test_propagation.py
@@ -62,3 +62,13 @@
             balancer.store_refuses = balancer.settings.region == "a"
         self.assertLess(region.apply_configuration(1900), node.Bounds().config_apply_s)
         self.assertLess(region.apply_configuration(1901), node.Bounds().config_apply_s)
+
+    def test_rows_that_waited_on_a_link_are_not_taken_for_fresh(self) -> None:
+        region = self.start(routes=20, others=20, region_mbps=2.0, remote=4)
+        worst_s = 0.0
+        for routes in (1900, 1901):
+            region.put("op", "config", model.configuration(routes))
+            for _ in range(80):
+                region.loop.advance(0.1)
+                worst_s = max(worst_s, region.age_error_s())
+        self.assertLess(worst_s, 0.1)
--- a/waxwingspool/fleet/tests/test_store.py
+++ b/waxwingspool/fleet/tests/test_store.py
@@ -15,6 +15,51 @@
 PIECE_INTERVAL_S = 0.4
 
 
+class AgeTest(unittest.TestCase):
+    """When the store confirmed what was read, although responses wait on their way."""
+
+    def setUp(self) -> None:
+        self.loop = virtual.new_event_loop()
+        self.addCleanup(self.loop.shutdown)
+        self.client = store.StoreClient(test_tables.make_settings())
+        self.clock_ahead_s = 500.0
+
+    def read(
+        self, answer_delay_s: float, transit_s: float, wait_s: float = 0.0, rows: str = ""
+    ) -> float:
+        """Return by how much a reading is taken for older than it is, in seconds."""
+
+        async def call(*_: object) -> bytes:
+            await asyncio.sleep(answer_delay_s)
+            self.answered_at = self.loop.time()
+            now_ms = (self.answered_at + self.clock_ahead_s) * 1000
+            await asyncio.sleep(transit_s)
+            return b'{"ver": 7, "rows": [%b], "now-ms": %d}' % (rows.encode(), round(now_ms))
+
+        self.client._call = call
+        task = self.loop.create_task(self.client.get_changes("op", 6, wait_s))
+        self.loop.advance(60.0)
+        return self.answered_at - task.result().confirmed_at
+
+    def test_response_that_waited_on_its_way_is_as_old_as_when_the_store_answered(self) -> None:
+        self.assertAlmostEqual(0.02, self.read(0.02, 3.0), places=2)
+        self.assertAlmostEqual(0.02, self.read(0.02, 0.02), places=2)
+        rows = '{"key": "config", "ver": 7, "value": ""}'
+        self.assertAlmostEqual(0.08, self.read(0.5, 3.0, 0.9, rows), places=2)
+
+    def test_clock_of_the_store_is_followed_while_nothing_changes(self) -> None:
+        for _ in range(60):
+            self.assertAlmostEqual(0.02, self.read(0.92, 0.02, 0.9), places=2)
+
+    def test_response_that_came_before_its_wait_was_over_is_not_taken_for_newer(self) -> None:
+        self.assertGreaterEqual(self.read(0.1, 0.1, 0.9), 0.1 - 0.001)
+
+    def test_store_whose_clock_starts_anew_is_followed(self) -> None:
+        self.read(0.02, 0.02)
+        for self.clock_ahead_s in (0.0, 900.0):
+            self.assertAlmostEqual(0.02, self.read(0.02, 0.02), places=2)
+
+
 class SlowResponseTest(unittest.TestCase):
     def setUp(self) -> None:
         self.loop = virtual.new_event_loop()
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -5,12 +5,13 @@
 
 import asyncio
 import collections
+import time
 import unittest
 from unittest import mock
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
-from waxwingspool.fleet import frames, link, members, tables
+from waxwingspool.fleet import clock, frames, link, members, tables
 from waxwingspool.fleet import store as store_client
 from waxwingspool.platform import store
 
@@ -40,6 +41,11 @@
     return store.Row(key, value, version)
 
 
+def reading(version: int, *rows: store.Row) -> store_client.Reading:
+    """Return what was read from the store at this moment."""
+    return store_client.Reading(store.Page(rows, version, False), time.monotonic())
+
+
 class FakeStoreClient:
     """Store client with queued responses to the feed of table ``op``; other feeds never respond."""
 
@@ -51,11 +57,11 @@
     def total_listings(self) -> int:
         return sum(self.listing_calls.values())
 
-    async def get_listing(self, table: str) -> store.Page:
+    async def get_listing(self, table: str) -> store_client.Reading:
         self.listing_calls[table] += 1
-        return store.Page((), 1, False)
+        return reading(1)
 
-    async def get_changes(self, table: str, after: int, wait_s: float) -> store.Page:
+    async def get_changes(self, table: str, after: int, wait_s: float) -> store_client.Reading:
         if table != "op":
             await asyncio.Event().wait()
         response = await self.responses.get()
@@ -140,10 +146,10 @@
     async def test_first_call_of_a_new_reader_does_not_wait_for_changes(self) -> None:
         waits_s = []
 
-        async def get_changes(table: str, after: int, wait_s: float) -> store.Page:
+        async def get_changes(table: str, after: int, wait_s: float) -> store_client.Reading:
             waits_s.append(wait_s)
             await asyncio.sleep(0)
-            return store.Page((), after, False)
+            return reading(after)
 
         self.client.get_changes = get_changes
         self.receive("op", None, 4)
@@ -156,11 +162,11 @@
     async def test_balancer_that_cannot_list_the_members_does_not_read_all_tables(self) -> None:
         listed = []
 
-        async def get_listing(table: str) -> store.Page:
+        async def get_listing(table: str) -> store_client.Reading:
             listed.append(table)
             if len(listed) < 4:
                 raise exceptions.StoreUnavailable("busy")
-            return store.Page((), 1, False)
+            return reading(1)
 
         self.client.get_listing = get_listing
         real_sleep = asyncio.sleep
@@ -309,7 +315,33 @@
         sent_at = self.now + 3 - clock_difference_s
         self.now += 5
         self.tables.receive_table_ages(peer_link, frames.TableAges(ages, sent_at))
-        self.assertAlmostEqual(2.0, self.tables.age_s, delta=5 * link.MAX_CLOCK_DRIFT)
+        self.assertAlmostEqual(2.0, self.tables.age_s, delta=5 * clock.MAX_CLOCK_DRIFT)
+
+    async def test_first_frame_of_a_link_is_as_old_as_the_request_at_most(self) -> None:
+        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        with mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
+        ):
+            self.tables._select_reader()
+        peer_link = link.Link(READER_IP, mock.Mock(), mock.Mock())
+        requested_at, sent_at = self.now, self.now - 500.0
+        self.now += 3
+        for table in ("op", "servers"):
+            rows = frames.Rows(table, None, 4, [], 0.2, sent_at, requested_at)
+            self.tables.receive_rows(peer_link, rows)
+        self.assertAlmostEqual(3.2, self.tables.age_s)
+        ages = {"op": (4, 0.1), "servers": (4, 0.1)}
+        self.now += 5
+        self.tables.receive_table_ages(peer_link, frames.TableAges(ages, sent_at + 7.5))
+        self.assertAlmostEqual(0.6, self.tables.age_s, delta=8 * clock.MAX_CLOCK_DRIFT)
+
+    async def test_subscriber_is_told_which_request_a_frame_replies_to(self) -> None:
+        self.receive("op", None, 4, ("config", 3, b"c"))
+        subscriber = mock.Mock()
+        self.tables.add_subscriber(subscriber, frames.Subscribe({"op": -1}, 77.0))
+        self.tables._stop_reading()
+        sent = [call.args[0] for call in subscriber.send.call_args_list]
+        self.assertEqual([77.0] * len(sent), [frame.requested_at for frame in sent])
 
     async def test_listing_is_requested_from_a_reader_that_is_ahead(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
@@ -339,7 +371,7 @@
     def subscribe(self, version: int) -> frames.Rows:
         """Return what a subscriber with a version of table ``op`` is sent of it."""
         subscriber = mock.Mock()
-        self.tables.add_subscriber(subscriber, {"op": version})
+        self.tables.add_subscriber(subscriber, frames.Subscribe({"op": version}))
         self.tables._stop_reading()
         sent = [call.args[0] for call in subscriber.send.call_args_list]
         return next(f for f in sent if isinstance(f, frames.Rows) and f.table == "op")
@@ -370,7 +402,7 @@
         await asyncio.sleep(0)
         with mock.patch.object(tables, "MIN_RETRY_DELAY_S", 0.0):
             await self.client.responses.put(exceptions.StoreUnavailable("down"))
-            await self.client.responses.put(store.Page((row("config", 7),), 7, False))
+            await self.client.responses.put(reading(7, row("config", 7)))
             for _ in range(20):
                 await asyncio.sleep(0)
         self.assertEqual(7, self.tables.versions()["op"])
--- a/waxwingspool/platform/store.py
+++ b/waxwingspool/platform/store.py
@@ -26,11 +26,14 @@
 
     :ivar version: version of the store that the rows reflect; the change feed continues from it.
     :ivar has_more: whether the listing continues after the last row.
+    :ivar clock_s: time of the store's steady clock in seconds at which it answered, ``None`` if the
+        response does not tell.
     """
 
     rows: tuple[Row, ...]
     version: int
     has_more: bool
+    clock_s: float | None = None
 
 
 class _Row(msgspec.Struct, rename="kebab"):
@@ -46,6 +49,7 @@
     ver: int
     rows: list[_Row] = []
     has_more: bool = False
+    now_ms: float | None = None
 
 
 class _Put(msgspec.Struct, rename="kebab"):
@@ -103,7 +107,8 @@
         rows = tuple(Row(row.key, _decode_value(row), row.ver) for row in page.rows if not row.part)
     except (msgspec.DecodeError, ValueError) as error:
         raise exceptions.StoreUnavailable(f"malformed response: {error}") from error
-    return Page(rows, page.ver, page.has_more)
+    clock_s = None if page.now_ms is None else page.now_ms / 1000
+    return Page(rows, page.ver, page.has_more, clock_s)
 
 
 def _decode_value(row: _Row) -> bytes | None:
