Let remote regions follow the reader next to the store, and cross the link in turn

Callers saw old configurations in a whole region for seconds after the store's or a reader's failure, also when nothing else failed any more.

Balancers register their round-trip time to the store. The reader of a region that is remote from the store follows the reader of the region next to it, whose frames are compressed, and reads the store only if that fails. Within a remote region only one balancer at a time crosses the link: turns by rank, also for following a balancer of another region; who reads in vain yields and has the next turn after all others. Next to the store reads are cheap: no turns there, and remote balancers are asked last.

Three connections more at each start.

--- a/waxwingspool/dispatch/readers.py
+++ b/waxwingspool/dispatch/readers.py
@@ -16,6 +16,7 @@
     "CATCH_UP_RATE",
     "LOCAL_COUNT",
     "READER_COUNT",
+    "REMOTE_COUNT",
     "choose_reader",
     "list_candidates",
     "rank_balancers",
@@ -52,30 +53,36 @@
 
 
 def list_candidates(
-    own: str, local: Sequence[str], remote: Sequence[Sequence[str]], failing: bool
+    own: str,
+    local: Sequence[str],
+    near: Sequence[Sequence[str]],
+    remote: Sequence[Sequence[str]],
+    failing: bool,
 ) -> list[str]:
     """Return the balancers that may be followed, in order of preference.
 
     :param own: this balancer, which stands in the list if it may read the store itself.
     :param local: the balancers of the own region in order of rank.
-    :param remote: those of each other region.
+    :param near: those of each other region that is not remote from the store.
+    :param remote: those of each other region that is, whose readers depend on the near ones.
     :param failing: whether the own calls to the store fail. The reader of another region then goes
         first, because it has the rows already, and next those that rank after the own, so that
         failing readers do not follow each other.
 
-    >>> list_candidates("b", ["a", "b", "c", "d", "e"], [["x", "y", "z"]], False)
-    ['a', 'b', 'c', 'x', 'y', 'd', 'e']
-    >>> list_candidates("b", ["a", "b", "c", "d", "e"], [["x", "y", "z"]], True)
-    ['x', 'c', 'y', 'd', 'e', 'a']
+    >>> list_candidates("b", ["a", "b", "c", "d", "e"], [["x", "y", "z"]], [["r"]], False)
+    ['a', 'b', 'c', 'x', 'y', 'd', 'e', 'r']
+    >>> list_candidates("b", ["a", "b", "c", "d", "e"], [["x", "y", "z"]], [["r"]], True)
+    ['x', 'c', 'y', 'd', 'e', 'a', 'r']
     """
     candidates = list(local[:CANDIDATE_COUNT])
-    readers = [ranks[0] for ranks in remote if ranks]
-    deputies = [ip for ranks in remote for ip in ranks[1:REMOTE_COUNT]]
+    readers = [ranks[0] for ranks in near if ranks]
+    deputies = [ip for ranks in near for ip in ranks[1:REMOTE_COUNT]]
+    last = [ranks[0] for ranks in remote if ranks]
     if failing and own in candidates:
         position = candidates.index(own)
         candidates = candidates[position + 1 :] + candidates[:position]
-        return [*readers, *candidates[:1], *deputies, *candidates[1:]]
-    return [*candidates[:LOCAL_COUNT], *readers, *deputies, *candidates[LOCAL_COUNT:]]
+        return [*readers, *candidates[:1], *deputies, *candidates[1:], *last]
+    return [*candidates[:LOCAL_COUNT], *readers, *deputies, *candidates[LOCAL_COUNT:], *last]
 
 
 def choose_reader(
@@ -107,14 +114,18 @@
     return min(usable, key=stale_since.__getitem__, default=own)
 
 
-def turn_delay_s(rank: int, table_bytes: int) -> float:
+def turn_delay_s(rank: int, table_bytes: int, remote: bool) -> float:
     """Return how long a balancer without fresh rows waits before it reads the store, in seconds.
 
     :param rank: its position among the balancers of its region, 0 for the first.
     :param table_bytes: size in bytes of what it reads.
+    :param remote: whether the responses pass the link between regions; then one balancer reads
+        before all others.
 
-    >>> turn_delay_s(3, 1024 * 1024), turn_delay_s(5, 1024 * 1024)
+    >>> turn_delay_s(3, 1024 * 1024, False), turn_delay_s(5, 1024 * 1024, False)
+    (0.0, 2.0)
+    >>> turn_delay_s(0, 1024 * 1024, True), turn_delay_s(2, 1024 * 1024, True)
     (0.0, 2.0)
     """
-    turns = max(0, rank - READER_COUNT + 1)
+    turns = rank if remote else max(0, rank - READER_COUNT + 1)
     return min(MAX_TURN_DELAY_S, turns * table_bytes / CATCH_UP_RATE)
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -173,10 +173,12 @@
         """
         while True:
             try:
-                await self._client.put(
-                    members.TABLE, self._settings.ip, members.encode(self._settings)
+                await self._client.measure_rtt()
+                row = members.encode(self._settings, self._client.rtt_s)
+                await self._client.put(members.TABLE, self._settings.ip, row)
+                eventlog.event(
+                    "member.registered", ip=self._settings.ip, store_rtt_s=self._client.rtt_s
                 )
-                eventlog.event("member.registered", ip=self._settings.ip)
                 break
             except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
                 eventlog.event("member.not-registered", error=error)
--- a/waxwingspool/fleet/members.py
+++ b/waxwingspool/fleet/members.py
@@ -8,6 +8,9 @@
 
 from waxwingspool.catalog import node
 
+# Time in seconds by which the round trip from a region to the store must be longer than from the
+# nearest one for the region to count as remote: more than between data centres of a region.
+MIN_REMOTE_RTT_S = 0.01
 # Minimum capacity of a dispatcher or reader: fraction of the fastest link in its region and of the
 # largest number of processor cores there, of which at most one counts.
 MIN_RELATIVE_CAPACITY = 0.5
@@ -23,6 +26,7 @@
 
     :ivar link_mbps: bandwidth of its link in megabits per second.
     :ivar cores: processor cores that it may use.
+    :ivar store_rtt_s: round-trip time to the store in seconds, ``None`` if it is not known.
     """
 
     name: str
@@ -30,17 +34,21 @@
     region: str
     link_mbps: float = 1000.0
     cores: float = 1.0
+    store_rtt_s: float | None = None
 
 
 _decoder = msgspec.json.Decoder(Member)
 
 
-def encode(settings: node.NodeSettings) -> bytes:
-    """Return the encoded row of this balancer."""
-    return msgspec.json.encode(own_member(settings))
+def encode(settings: node.NodeSettings, store_rtt_s: float | None = None) -> bytes:
+    """Return the encoded row of this balancer.
+
+    :param store_rtt_s: see :class:`Member`.
+    """
+    return msgspec.json.encode(own_member(settings, store_rtt_s))
 
 
-def own_member(settings: node.NodeSettings) -> Member:
+def own_member(settings: node.NodeSettings, store_rtt_s: float | None = None) -> Member:
     """Return this balancer as a member."""
     return Member(
         settings.name,
@@ -48,6 +56,7 @@
         settings.region,
         settings.link_mbps,
         settings.cores,
+        store_rtt_s,
     )
 
 
@@ -61,6 +70,8 @@
         self._own_ip = settings.ip
         self._revision = 0
         self._members = {settings.ip: own_member(settings)}
+        self._store_rtts_s: dict[str, float] = {}
+        self._rtts_revision = -1
 
     @property
     def revision(self) -> int:
@@ -95,6 +106,30 @@
         """Return all regions that have a balancer."""
         return {member.region for member in self._members.values()}
 
+    def region_of(self, ip: str) -> str | None:
+        """Return the region of a balancer, ``None`` if it is not known."""
+        member = self._members.get(ip)
+        return None if member is None else member.region
+
+    def region_next_to_store(self, region: str) -> str | None:
+        """Return the region nearest the store if a region is remote from it, else ``None``."""
+        rtts_s = self._get_store_rtts_s()
+        if region not in rtts_s:
+            return None
+        nearest = min(rtts_s, key=lambda name: (rtts_s[name], name))
+        return nearest if rtts_s[region] - rtts_s[nearest] >= MIN_REMOTE_RTT_S else None
+
+    def _get_store_rtts_s(self) -> dict[str, float]:
+        """Return the shortest known round-trip time to the store from each region, in seconds."""
+        if self._rtts_revision != self._revision:
+            self._rtts_revision = self._revision
+            self._store_rtts_s = {}
+            for member in self._members.values():
+                if member.store_rtt_s is not None:
+                    shortest_s = self._store_rtts_s.get(member.region, float("inf"))
+                    self._store_rtts_s[member.region] = min(shortest_s, member.store_rtt_s)
+        return self._store_rtts_s
+
     def update(self, ip: str, value: bytes | None) -> bool:
         """Add, replace or remove a member.
 
--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -22,6 +22,8 @@
 # Time in seconds that a write may queue at the store, because all balancers start and register
 # together.
 WRITE_QUEUE_TIMEOUT_S = 2.0
+# Number of connections from which the round-trip time is measured.
+RTT_SAMPLES = 3
 # Idle time after which a connection is not reused, in seconds.
 IDLE_TIMEOUT_S = 20.0
 # Largest response in bytes, and largest sum of the responses of one listing; a page holds 1 MB.
@@ -51,6 +53,8 @@
 
     :param settings: settings of this balancer.
     :ivar calls: number of calls made.
+    :ivar rtt_s: shortest time in seconds that connecting to the store took, ``None`` if it never
+        succeeded.
     """
 
     def __init__(self, settings: node.NodeSettings) -> None:
@@ -61,6 +65,22 @@
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
         self._clock = clock.RemoteClock()
         self.calls = 0
+        self.rtt_s: float | None = None
+
+    async def measure_rtt(self) -> None:
+        """Update the round-trip time from a few connections, and keep one for the next call.
+
+        :raises waxwingspool.exceptions.StoreUnavailable: a connection failed.
+        """
+        for _ in range(RTT_SAMPLES):
+            try:
+                connection = await self._connect()
+            except (OSError, TimeoutError) as error:
+                raise exceptions.StoreUnavailable(f"{type(error).__name__}: {error}") from error
+            for unused in self._idle:
+                unused.abort()
+            connection.idle_since = asyncio.get_running_loop().time()
+            self._idle = [connection]
 
     async def get_listing(self, table: str) -> Reading:
         """Return all rows of a table, with the version from which to follow its changes.
@@ -153,9 +173,17 @@
             if connection.usable and now - connection.idle_since < IDLE_TIMEOUT_S:
                 return connection
             connection.abort()
-        return await upstream.connect(
+        return await self._connect()
+
+    async def _connect(self) -> upstream.Connection:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        connection = await upstream.connect(
             self._settings.store_address, self._settings.ip, self._response_timeout_s, None
         )
+        elapsed_s = loop.time() - started_at
+        self.rtt_s = elapsed_s if self.rtt_s is None else min(self.rtt_s, elapsed_s)
+        return connection
 
     async def _exchange(
         self,
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -1,11 +1,12 @@
 """Copies of the store's tables, replicated to all balancers through one reader per region.
 
 In each region the balancer that ranks first, the reader, follows the feeds of the store's tables
-and forwards rows and their age to the others. A balancer whose rows become too old fails over to
-the next reader, of its own region first, and in its turn reads the store directly until a reader
-has fresh rows. The number of calls to the store thus grows with the number of regions rather than
-balancers, and no balancer depends on one reader for longer than :data:`MAX_AGE_S`. A reader whose
-own calls fail follows another balancer and forwards that one's rows.
+and forwards rows and their age to the others. The reader of a region that is remote from the store
+follows that of the region next to it instead, whose frames are compressed. A balancer whose rows
+become too old fails over to the next reader, of its own region first, and in its turn reads the
+store directly until a reader has fresh rows. Neither the calls to the store nor the bytes between
+regions thus grow with the number of balancers, and no balancer depends on one reader for longer
+than :data:`MAX_AGE_S`. A reader whose own calls fail follows another balancer likewise.
 """
 
 import asyncio
@@ -43,12 +44,12 @@
 # configuration, sent to all balancers of a region at once. A failover would send it once more.
 RECEIVE_EXTENSION_S = 0.5
 # Consecutive failovers from readers without fresh rows, after which a balancer also reads the store
-# directly: in a deployment of one region, and of several, where another region is asked first.
+# directly: next to the store, and in a remote region, where balancers next to it are asked first.
 MIN_FAILOVERS_BEFORE_DIRECT_READ = 2
 MAX_FAILOVERS_BEFORE_DIRECT_READ = 4
-# Age of rows, in seconds, at which a reader whose own calls fail fails over, and time that the next
-# reader has then. Shorter, so that its followers need not fail over.
-MAX_RELAY_AGE_S = FEED_LONG_POLL_S + 0.2
+# Age of rows, in seconds, at which a reader that follows another one fails over, and time that the
+# next one has then. Shorter, so that its followers need not fail over.
+MAX_RELAY_AGE_S = FEED_LONG_POLL_S + 0.3
 RELAY_FAILOVER_TIMEOUT_S = 0.25
 # Same while no candidate is left that has not been tried, as in an outage of the store.
 EXHAUSTED_FAILOVER_TIMEOUT_S = 1.0
@@ -205,6 +206,7 @@
         self._failed_calls: collections.Counter[str] = collections.Counter()
         self._read_at: dict[str, float] = {}
         self._reading_since = float("-inf")
+        self._yielded_at = float("-inf")
         self._started_at = time.monotonic()
         self._forwarded_fresh_at = float("-inf")
         self._heard_at = float("-inf")
@@ -351,12 +353,13 @@
     def _select_reader(self) -> None:
         """Follow the preferred reader, or read the store directly."""
         self._check_reader()
+        self._yield_turn()
         candidate = self._preferred_reader()
         may_change = self._reader is None or time.monotonic() > self._follow_until
         if may_change and candidate not in (self._settings.ip, self._reader):
             self._follow(candidate)
         if self._reader is None:
-            if self._is_own_turn():
+            if self._is_own_turn(MAX_LONE_TURN_DELAY_S):
                 self._start_reading()
         elif may_change and candidate == self._settings.ip:
             # Followed until the own calls succeed, so that the followers' rows do not become old.
@@ -372,10 +375,10 @@
 
     def _check_reader(self) -> None:
         """Give up a reader that has not delivered fresh rows in time."""
-        failing = self._is_failing()
+        relaying = self._is_relaying()
         extension_s = RECEIVE_EXTENSION_S if self._is_receiving() else 0.0
-        max_age_s = (MAX_RELAY_AGE_S if failing else MAX_AGE_S) + extension_s
-        timeout_s = self._failover_timeout_s(failing) + extension_s
+        max_age_s = (MAX_RELAY_AGE_S if relaying else MAX_AGE_S) + extension_s
+        timeout_s = self._failover_timeout_s(relaying) + extension_s
         followed_s = time.monotonic() - self._followed_since
         if self._reader is not None and self.age_s > max_age_s and followed_s > timeout_s:
             self._give_up_reader()
@@ -385,14 +388,29 @@
         self._follow_until = time.monotonic() + self._rng.uniform(MIN_FOLLOW_S, MAX_FOLLOW_S)
 
     def _failovers_before_direct_read(self) -> int:
-        alone = len(self._members.regions()) == 1
-        return MIN_FAILOVERS_BEFORE_DIRECT_READ if alone else MAX_FAILOVERS_BEFORE_DIRECT_READ
+        if self._reads_cross_regions():
+            return MAX_FAILOVERS_BEFORE_DIRECT_READ
+        return MIN_FAILOVERS_BEFORE_DIRECT_READ
+
+    def _reads_cross_regions(self) -> bool:
+        """Return whether the store's responses to this region may pass a link between regions."""
+        region, regions = self._settings.region, self._members.regions()
+        is_nearest = any(self._members.region_next_to_store(r) == region for r in regions)
+        return len(regions) > 1 and not is_nearest
+
+    def _is_relaying(self) -> bool:
+        """Return whether this balancer follows another one in place of reading the store."""
+        if self._is_failing():
+            return True
+        return self._reader is not None and (
+            self._members.region_of(self._reader) != self._settings.region
+        )
 
-    def _failover_timeout_s(self, failing: bool) -> float:
+    def _failover_timeout_s(self, relaying: bool) -> float:
         """Return how long the current reader has to deliver fresh rows, in seconds."""
         if self._reader in self._stale_since:
             return EXHAUSTED_FAILOVER_TIMEOUT_S
-        if failing:
+        if relaying:
             return RELAY_FAILOVER_TIMEOUT_S
         return FAILOVER_TIMEOUT_S if self._failovers else MAX_AGE_S
 
@@ -423,21 +441,38 @@
             # A failure is logged and makes the peer unavailable.
             await self._links.get_or_connect(peer)
 
-    def _is_own_turn(self) -> bool:
-        """Return whether this balancer may read the store although nobody follows it.
+    def _is_own_turn(self, max_delay_s: float = float("inf")) -> bool:
+        """Return whether this balancer may read the store, or follow a balancer of another region.
 
-        In a deployment of several regions, turns keep the link between them from being saturated.
+        Turns keep the link between regions from being saturated.
+
+        :param max_delay_s: longest time to wait for the turn, in seconds.
         """
-        if len(self._members.regions()) == 1:
+        ranks = self._rank(self._settings.region)
+        ahead = ranks[: ranks.index(self._settings.ip)]
+        delay_s = self._turn_delay_s(sum(1 for ip in ahead if self._links.available(ip)))
+        if not delay_s:
             return True
-        rank = self._rank(self._settings.region).index(self._settings.ip)
+        stale_since = max(self._started_at, self._fresh_at + MAX_AGE_S)
+        first_turn_at = stale_since + min(delay_s, max_delay_s)
+        next_turn_at = self._yielded_at + min(self._turn_delay_s(len(ranks)), max_delay_s)
+        return time.monotonic() >= max(first_turn_at, next_turn_at)
+
+    def _turn_delay_s(self, rank: int) -> float:
+        """Return how long a balancer of this region waits for its turn, in seconds."""
+        if not self._reads_cross_regions():
+            return 0.0
         copies = [self._copies[table] for table in self._required_tables]
         table_bytes = sum(len(row.value) for copy in copies for row in copy.rows.values())
-        delay_s = readers.turn_delay_s(rank, max(table_bytes, MIN_TABLE_BYTES))
-        if self._reader is None:
-            delay_s = min(delay_s, MAX_LONE_TURN_DELAY_S)
-        stale_since = max(self._started_at, self._fresh_at + MAX_AGE_S)
-        return time.monotonic() - stale_since >= delay_s
+        remote = self._members.region_next_to_store(self._settings.region) is not None
+        return readers.turn_delay_s(rank, max(table_bytes, MIN_TABLE_BYTES), remote)
+
+    def _yield_turn(self) -> None:
+        """Stop reading in vain, so that not all balancers read once the store responds again."""
+        rank = self._rank(self._settings.region).index(self._settings.ip)
+        if self._reader is not None and self._is_failing() and self._turn_delay_s(rank):
+            self._yielded_at = time.monotonic()
+            self._stop_reading()
 
     def _is_receiving(self) -> bool:
         """Return whether a frame of the reader is arriving."""
@@ -457,28 +492,52 @@
 
     def _preferred_reader(self) -> str:
         """Return the balancer to follow, this one if it is to read the store itself."""
-        if self._reader is None and self._subscribers and self._reads_succeed():
-            # Followers must not depend on two balancers; they return to the first one by and by.
-            return self._settings.ip
         now = time.monotonic()
         for ip, since in list(self._stale_since.items()):
             if now - since > STALE_READER_PAUSE_S:
                 del self._stale_since[ip]
-        followers = {peer_link.peer for peer_link in self._subscribers}
+        own = self._settings.ip
+        if self._reader is None and self._subscribers and self._reads_succeed():
+            # Followers must not depend on two balancers; they return to the first one by and by.
+            return self._reader_next_to_store() or own
         failing = self._is_failing()
+        reader = self._choose_reader(failing)
+        if reader != own:
+            return reader
+        may_read = not failing and self._is_own_turn()
+        return self._reader_next_to_store() or (own if may_read else self._choose_reader(True))
+
+    def _choose_reader(self, failing: bool) -> str:
         return readers.choose_reader(
             self._candidates(failing),
             self._settings.ip,
             failing,
             self._stale_since,
-            lambda ip: ip not in followers and self._links.available(ip),
+            self._can_follow,
         )
 
+    def _reader_next_to_store(self) -> str | None:
+        """Return the balancer to follow in place of reading the store from a remote region."""
+        region = self._members.region_next_to_store(self._settings.region)
+        nearest = [] if region is None else self._rank(region)[: readers.REMOTE_COUNT]
+        usable = (ip for ip in nearest if ip not in self._stale_since and self._can_follow(ip))
+        return next(usable, None)
+
+    def _can_follow(self, ip: str) -> bool:
+        """Return whether this balancer may follow another one, which does not follow it."""
+        is_follower = any(peer_link.peer == ip for peer_link in self._subscribers)
+        if is_follower or not self._links.available(ip):
+            return False
+        return self._members.region_of(ip) == self._settings.region or self._is_own_turn()
+
     def _candidates(self, failing: bool) -> list[str]:
         own_region = self._settings.region
-        others = sorted(self._members.regions() - {own_region})
-        remote = [self._rank(region) for region in others]
-        return readers.list_candidates(self._settings.ip, self._rank(own_region), remote, failing)
+        near, remote = [], []
+        for region in sorted(self._members.regions() - {own_region}):
+            is_near = self._members.region_next_to_store(region) is None
+            (near if is_near else remote).append(self._rank(region))
+        local = self._rank(own_region)
+        return readers.list_candidates(self._settings.ip, local, near, remote, failing)
 
     def _rank(self, region: str) -> list[str]:
         """Return the balancers of a region in the order in which they may read the store."""
--- a/waxwingspool/fleet/tests/model.py
+++ b/waxwingspool/fleet/tests/model.py
@@ -35,6 +35,8 @@
 PEER_DELAY_S = 0.001
 REGION_DELAY_S = 0.03
 STORE_DELAY_S = 0.015
+# Round-trip times to the store that the balancers of region ``a`` and of others have measured.
+REMOTE_RTT_S, NEAR_RTT_S = 0.06, 0.002
 # Bytes that half a core encodes and compresses in a second.
 ENCODE_BYTES_PER_S = 80e6
 # Bandwidth of the link into region ``a``, in megabits per second.
@@ -329,7 +331,8 @@
             ip: Balancer(self, ip, link_mbps, name) for ip, link_mbps, name in local + remotes
         }
         for balancer in self.balancers.values():
-            self.put(members.TABLE, balancer.ip, members.encode(balancer.settings))
+            rtt_s = REMOTE_RTT_S if balancer.settings.region == "a" else NEAR_RTT_S
+            self.put(members.TABLE, balancer.ip, members.encode(balancer.settings, rtt_s))
         ranking = election.ranking("reader a", list(self.balancers)[:readers])
         self.readers = [self.balancers[ip] for ip in ranking]
         self.put("op", "config", configuration(routes))
--- a/waxwingspool/fleet/tests/test_propagation.py
+++ b/waxwingspool/fleet/tests/test_propagation.py
@@ -72,3 +72,27 @@
                 region.loop.advance(0.1)
                 worst_s = max(worst_s, region.age_error_s())
         self.assertLess(worst_s, 0.1)
+
+    def test_remote_region_does_not_read_the_store_itself(self) -> None:
+        region = self.start(region_mbps=30.0, remote=4)
+        calls, size = region.store_calls, region.region_link.byte_count
+        bound_s = node.Bounds().config_apply_s
+        self.assertLess(region.apply_configuration(ROUTES + 1500, 5.0), bound_s)
+        frame = frames.Rows("op", None, 1, [("config", 1, model.configuration(ROUTES + 1500))])
+        self.assertLess(region.region_link.byte_count - size, 1.2 * len(frames.encode(frame)))
+        # One reader: two tables with changes every 0.7 s, and the members.
+        self.assertLess(region.store_calls - calls, 5.0 * 3)
+
+    def test_region_recovers_from_refused_readers_while_a_large_configuration_arrives(self) -> None:
+        region = self.start(routes=20, others=20, region_mbps=8.0, remote=10)
+        balancers = list(region.balancers.values())
+        for balancer in balancers[:-1]:
+            balancer.store_refuses = True
+        region.loop.advance(0.3)
+        region.put("op", "config", model.configuration(3000))
+        region.loop.advance(2.5)
+        for balancer in balancers:
+            balancer.store_refuses = False
+        region.loop.advance(3.0)
+        for routes in (3001, 3002):
+            self.assertLess(region.apply_configuration(routes, 6.0), node.Bounds().config_apply_s)
--- a/waxwingspool/fleet/tests/test_store.py
+++ b/waxwingspool/fleet/tests/test_store.py
@@ -60,6 +60,23 @@
             self.assertAlmostEqual(0.02, self.read(0.02, 0.02), places=2)
 
 
+class RoundTripTimeTest(unittest.TestCase):
+    def test_round_trip_time_is_the_shortest_time_to_connect(self) -> None:
+        loop = virtual.new_event_loop()
+        self.addCleanup(loop.shutdown)
+        client = store.StoreClient(test_tables.make_settings())
+        delays_s = iter((0.2, 0.06, 0.09))
+
+        async def connect(*_: object) -> mock.Mock:
+            await asyncio.sleep(next(delays_s))
+            return mock.Mock(usable=True)
+
+        with mock.patch.object(store.upstream, "connect", connect):
+            loop.run_until_complete(client.measure_rtt())
+        self.assertAlmostEqual(0.06, client.rtt_s, places=3)
+        self.assertEqual(1, len(client._idle))
+
+
 class SlowResponseTest(unittest.TestCase):
     def setUp(self) -> None:
         self.loop = virtual.new_event_loop()
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -343,6 +343,74 @@
         sent = [call.args[0] for call in subscriber.send.call_args_list]
         self.assertEqual([77.0] * len(sent), [frame.requested_at for frame in sent])
 
+    def be_remote(self, rank: int) -> None:
+        """Make the own region remote from the store, with this balancer at a rank."""
+        ips = [f"10.0.0.{10 + number}" for number in range(rank)]
+        for ip in ips:
+            self.members.update(ip, members.encode(make_settings(ip), 0.06))
+        self.members.update(OWN_IP, members.encode(make_settings(), 0.06))
+        for ip in ("10.1.0.1", "10.1.0.2"):
+            near = members.Member(ip, "b-1", "b", 100.0, 1.0, 0.002)
+            self.members.update(ip, members.msgspec.json.encode(near))
+        patcher = mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: sorted(ips, key=_last_own)
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    async def test_first_balancer_of_a_remote_region_follows_the_reader_next_to_the_store(self):
+        self.be_remote(0)
+        self.tables._select_reader()
+        self.assertEqual("10.1.0.1", self.tables.reader)
+        self.links.available.side_effect = lambda ip: not ip.startswith("10.1.")
+        self.tables._unfollow()
+        self.tables._select_reader()
+        self.assertTrue(self.tables.is_reading)
+        self.tables._stop_reading()
+
+    async def test_balancers_of_a_remote_region_cross_the_link_between_regions_in_turn(
+        self,
+    ) -> None:
+        self.be_remote(3)
+        for table in ("op", "servers"):
+            self.receive(table, None, 4)
+        fresh_at, crossed_at = self.now, None
+        while crossed_at is None:
+            self.now += tables.SELECTION_INTERVAL_S
+            self.tables._select_reader()
+            if self.tables.is_reading or str(self.tables.reader).startswith("10.1."):
+                crossed_at = self.now
+        turn_s = tables.readers.turn_delay_s(3, tables.MIN_TABLE_BYTES, True)
+        self.assertGreaterEqual(crossed_at - fresh_at, tables.MAX_AGE_S + turn_s - 0.001)
+        self.tables._stop_reading()
+
+    async def test_balancer_that_reads_in_vain_yields_its_turn(self) -> None:
+        self.be_remote(3)
+        for table in ("op", "servers"):
+            self.receive(table, None, 4)
+        self.now += 60.0
+        self.tables._select_reader()
+        self.tables._start_reading()
+        for table in ("op", "servers"):
+            self.tables._failed_calls[table] = 1
+        self.tables._select_reader()
+        self.assertFalse(self.tables.is_reading)
+        self.assertFalse(self.tables._is_own_turn())
+        self.now += tables.readers.turn_delay_s(4, tables.MIN_TABLE_BYTES, True)
+        self.assertTrue(self.tables._is_own_turn())
+
+    async def test_balancers_next_to_the_store_read_it_without_turns(self) -> None:
+        near = members.Member("own", "a-1", "a", 100.0, 1.0, 0.002)
+        self.members.update(OWN_IP, members.msgspec.json.encode(near))
+        for number in range(8):
+            local = members.Member(f"n{number}", "a-1", "a", 100.0, 1.0, 0.002)
+            self.members.update(f"10.0.0.{10 + number}", members.msgspec.json.encode(local))
+        remote = members.Member("r", "b-1", "b", 100.0, 1.0, 0.06)
+        self.members.update("10.1.0.1", members.msgspec.json.encode(remote))
+        self.assertTrue(self.tables._is_own_turn())
+        self.assertEqual("10.1.0.1", self.tables._candidates(True)[-1])
+        self.assertEqual("10.1.0.1", self.tables._candidates(False)[-1])
+
     async def test_listing_is_requested_from_a_reader_that_is_ahead(self) -> None:
         self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
         with mock.patch.object(
@@ -409,7 +477,24 @@
         self.tables._stop_reading()
 
 
+def _last_own(ip: str) -> tuple[bool, str]:
+    return ip == OWN_IP, ip
+
+
 class MembersTest(unittest.TestCase):
+    def test_region_is_remote_if_the_store_is_farther_than_from_another_region(self) -> None:
+        membership = members.Members(make_settings())
+        rows = (("a", None), ("a", 0.064), ("a", 0.5), ("b", 0.003), ("b", 0.09), ("c", 0.004))
+        for number, (region, rtt_s) in enumerate(rows):
+            self.assertIsNone(membership.region_next_to_store("a"))
+            member = members.Member(f"n{number}", f"{region}-1", region, store_rtt_s=rtt_s)
+            membership.update(f"10.0.1.{number}", members.msgspec.json.encode(member))
+            if number == 3:
+                break
+        self.assertEqual("b", membership.region_next_to_store("a"))
+        self.assertIsNone(membership.region_next_to_store("b"))
+        self.assertIsNone(membership.region_next_to_store("c"))
+
     def test_balancers_with_little_capacity_are_not_eligible(self) -> None:
         membership = members.Members(make_settings())
         slow_link = members.Member("n", "a-1", "a", link_mbps=5.0, cores=1.0)
