Keep a reader while newer rows arrive at it

A reader now tells its subscribers while a response of the store or a frame of its own reader is arriving, and they keep it for up to 2 s longer and do not read themselves. The timeout thus measures progress and not the whole transfer. Cost: a frame of about 60 bytes to each subscriber every 0.1 s while rows older than 1 s are being replaced; no call.

test_reader_is_kept_while_newer_rows_arrive_at_it fails without it.

--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -139,12 +139,14 @@
 class TableAges(msgspec.Struct, array_like=True, tag=9):
     """Version and age in seconds of the sender's tables, except the members' table.
 
-    ``sent_at`` and ``requested_at`` are those of :class:`Rows`.
+    ``sent_at`` and ``requested_at`` are those of :class:`Rows`; ``arriving`` tells whether newer
+    rows are arriving at the sender.
     """
 
     ages: dict[str, tuple[int, float]]
     sent_at: float | None = None
     requested_at: float | None = None
+    arriving: bool = False
 
 
 class Unsubscribe(msgspec.Struct, array_like=True, tag=10):
--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -22,6 +22,8 @@
 # Time in seconds that a write may queue at the store, because all balancers start and register
 # together.
 WRITE_QUEUE_TIMEOUT_S = 2.0
+# Longest pause in seconds within a response that is still arriving: one lost packet.
+RECEIVE_PAUSE_S = 0.4
 # Number of connections from which the round-trip time is measured.
 RTT_SAMPLES = 3
 # Idle time after which a connection is not reused, in seconds.
@@ -64,9 +66,15 @@
         self._host = f"{ip}:{port}".encode()
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
         self._clock = clock.RemoteClock()
+        self._received_at = float("-inf")
         self.calls = 0
         self.rtt_s: float | None = None
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a response has been received in part and its bytes still arrive."""
+        return asyncio.get_running_loop().time() - self._received_at < RECEIVE_PAUSE_S
+
     async def measure_rtt(self) -> None:
         """Update the round-trip time from a few connections, and keep one for the next call.
 
@@ -220,3 +228,4 @@
                 raise upstream.Broken(upstream.ExchangeFailure.MALFORMED, detail)
             if response.body.complete:
                 return response.status, bytes(data)
+            self._received_at = loop.time()
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -43,6 +43,13 @@
 # Time in seconds by which these two are extended while a frame of the reader is arriving: a large
 # configuration, sent to all balancers of a region at once. A failover would send it once more.
 RECEIVE_EXTENSION_S = 0.5
+# Same while newer rows are arriving at the reader: to ask another one would only add to what the
+# links carry.
+ARRIVING_EXTENSION_S = 2.0
+# Time in seconds for which the word of a reader that rows are arriving holds. It gives it at checks
+# of the selection while its own rows are older than the age below, in seconds.
+ARRIVING_TIMEOUT_S = 0.35
+MIN_ARRIVING_AGE_S = 1.0
 # Consecutive failovers from readers without fresh rows, after which a balancer also reads the store
 # directly: next to the store, and in a remote region, where balancers next to it are asked first.
 MIN_FAILOVERS_BEFORE_DIRECT_READ = 2
@@ -210,6 +217,8 @@
         self._started_at = time.monotonic()
         self._forwarded_fresh_at = float("-inf")
         self._heard_at = float("-inf")
+        # When the reader last told that newer rows are arriving.
+        self._arriving_at = float("-inf")
         self._subscribe_task: asyncio.Future | None = None
         self._connect_tasks: list[asyncio.Future] = []
 
@@ -249,6 +258,8 @@
         try:
             while True:
                 self._select_reader()
+                if self._subscribers and self.age_s > MIN_ARRIVING_AGE_S and self._is_receiving():
+                    self._broadcast(b"")
                 await asyncio.sleep(SELECTION_INTERVAL_S)
         finally:
             self._stop_reading()
@@ -303,6 +314,8 @@
         if peer_link.peer != self._reader:
             return
         self._heard_at = time.monotonic()
+        if frame.arriving:
+            self._arriving_at = self._heard_at
         sent_at = _sent_at(peer_link, frame)
         for table, (version, age_s) in frame.ages.items():
             copy = self._copies.get(table)
@@ -367,7 +380,8 @@
             if self._reads_succeed():
                 self._unfollow()
         elif self.age_s > MAX_AGE_S:
-            if self._failovers >= self._failovers_before_direct_read() and self._is_own_turn():
+            exhausted = self._failovers >= self._failovers_before_direct_read()
+            if exhausted and not self._extension_s() and self._is_own_turn():
                 self._read_directly()
         elif self._reader_is_fresh and self._read_tasks:
             self._stop_reading()
@@ -376,13 +390,22 @@
     def _check_reader(self) -> None:
         """Give up a reader that has not delivered fresh rows in time."""
         relaying = self._is_relaying()
-        extension_s = RECEIVE_EXTENSION_S if self._is_receiving() else 0.0
-        max_age_s = (MAX_RELAY_AGE_S if relaying else MAX_AGE_S) + extension_s
-        timeout_s = self._failover_timeout_s(relaying) + extension_s
-        followed_s = time.monotonic() - self._followed_since
-        if self._reader is not None and self.age_s > max_age_s and followed_s > timeout_s:
+        max_age_s = MAX_RELAY_AGE_S if relaying else MAX_AGE_S
+        if self._is_reader_late(max_age_s, self._failover_timeout_s(relaying)):
             self._give_up_reader()
 
+    def _is_reader_late(self, max_age_s: float, timeout_s: float) -> bool:
+        """Return whether the reader has not delivered fresh rows, nor are any on their way.
+
+        :param max_age_s: age of rows in seconds above which they are not fresh.
+        :param timeout_s: time in seconds that the reader has to deliver them.
+        """
+        if self._reader is None:
+            return False
+        extension_s = self._extension_s()
+        followed_s = time.monotonic() - self._followed_since
+        return self.age_s > max_age_s + extension_s and followed_s > timeout_s + extension_s
+
     def _delay_change(self) -> None:
         """Set the time from which this balancer may change to a reader of higher rank."""
         self._follow_until = time.monotonic() + self._rng.uniform(MIN_FOLLOW_S, MAX_FOLLOW_S)
@@ -474,7 +497,17 @@
             self._yielded_at = time.monotonic()
             self._stop_reading()
 
+    def _extension_s(self) -> float:
+        """Return for how much longer the reader is kept because rows are on their way."""
+        if time.monotonic() - self._arriving_at < ARRIVING_TIMEOUT_S:
+            return ARRIVING_EXTENSION_S
+        return RECEIVE_EXTENSION_S if self._is_frame_arriving() else 0.0
+
     def _is_receiving(self) -> bool:
+        """Return whether newer rows are arriving from the store or from the reader."""
+        return (bool(self._read_tasks) and self._client.receiving) or self._is_frame_arriving()
+
+    def _is_frame_arriving(self) -> bool:
         """Return whether a frame of the reader is arriving."""
         peer_link = None if self._reader is None else self._links.get(self._reader)
         return peer_link is not None and peer_link.receiving
@@ -558,12 +591,13 @@
         """Return whether this balancer's own calls to the store fail."""
         failed = all(self._failed_calls[table] for table in self._required_tables)
         late = min(self.age_s, time.monotonic() - self._reading_since) > MAX_AGE_S
-        return bool(self._read_tasks) and (failed or late)
+        return bool(self._read_tasks) and (failed or (late and not self._client.receiving))
 
     def _follow(self, reader: str) -> None:
         self._unfollow()
         self._reader = reader
         self._reader_is_fresh = False
+        self._arriving_at = float("-inf")
         self._followed_since = time.monotonic()
         self._delay_change()
         eventlog.event("reader.chosen", reader=reader, age_s=self.age_s)
@@ -777,7 +811,7 @@
             for table, copy in self._copies.items()
             if copy.version >= 0 and table != members.TABLE
         }
-        return frames.TableAges(ages, now, requested_at)
+        return frames.TableAges(ages, now, requested_at, self._is_receiving())
 
 
 def _sent_at(peer_link: link.Link, frame: frames.Rows | frames.TableAges) -> float:
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -51,6 +51,7 @@
 
     def __init__(self) -> None:
         self.responses: asyncio.Queue = asyncio.Queue()
+        self.receiving = False
         self.listing_calls = collections.Counter()
 
     @property
@@ -343,6 +344,48 @@
         sent = [call.args[0] for call in subscriber.send.call_args_list]
         self.assertEqual([77.0] * len(sent), [frame.requested_at for frame in sent])
 
+    def follow(self, reader: str, *others: str) -> mock.Mock:
+        """Follow a reader that ranks before the others, and these before this balancer."""
+        for ip in (reader, *others):
+            self.members.update(ip, members.encode(make_settings(ip)))
+        ranks = [reader, *others, OWN_IP]
+        patcher = mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [ip for ip in ranks if ip in ips]
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        for table in ("op", "servers"):
+            self.receive(table, None, 4)
+        self.tables._select_reader()
+        self.assertEqual(reader, self.tables.reader)
+        return mock.Mock(peer=reader)
+
+    def receive_ages(self, peer_link: mock.Mock, age_s: float, arriving: bool = False) -> None:
+        ages = {"op": (4, age_s), "servers": (4, age_s)}
+        frame = frames.TableAges(ages, arriving=arriving)
+        self.tables.receive_table_ages(peer_link, frame)
+
+    async def test_reader_is_kept_while_newer_rows_arrive_at_it(self) -> None:
+        peer_link = self.follow(READER_IP, "10.0.0.3")
+        for _ in range(int((tables.MAX_AGE_S + tables.ARRIVING_EXTENSION_S) / 0.1) - 1):
+            self.now += 0.1
+            self.receive_ages(peer_link, self.tables.age_s, arriving=True)
+            self.tables._select_reader()
+            self.assertEqual(READER_IP, self.tables.reader)
+        self.assertFalse(self.tables.is_reading)
+        self.now += tables.ARRIVING_TIMEOUT_S
+        self.tables._select_reader()
+        self.assertNotEqual(READER_IP, self.tables.reader)
+        self.tables._stop_reading()
+
+    async def test_subscribers_are_told_whether_newer_rows_arrive(self) -> None:
+        self.follow(READER_IP)
+        subscriber = mock.Mock()
+        for receiving in (False, True):
+            self.links.get.return_value.receiving = receiving
+            self.tables.add_subscriber(subscriber, frames.Subscribe({"op": 4}))
+            self.assertIs(receiving, subscriber.send.call_args.args[0].arriving)
+
     def be_remote(self, rank: int) -> None:
         """Make the own region remote from the store, with this balancer at a rank."""
         ips = [f"10.0.0.{10 + number}" for number in range(rank)]
