Don't give up a reader that was just chosen because a subscriber comes

A subscriber now has this effect only once the reader has had its time.

test_subscriber_does_not_make_a_balancer_give_up_a_reader_just_chosen failed before.

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -286,7 +286,7 @@
         if peer_link.peer == self._reader:
             # The reader has lost the store and follows this balancer in turn.
             self._unfollow()
-        elif self._reader is not None and self.age_s > MAX_RELAY_AGE_S:
+        elif self._is_reader_late(MAX_RELAY_AGE_S, RELAY_FAILOVER_TIMEOUT_S):
             # The subscriber has given up a reader, probably the same one.
             self._give_up_reader()
             self._select_reader()
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -386,6 +386,16 @@
             self.tables.add_subscriber(subscriber, frames.Subscribe({"op": 4}))
             self.assertIs(receiving, subscriber.send.call_args.args[0].arriving)
 
+    async def test_subscriber_does_not_make_a_balancer_give_up_a_reader_just_chosen(self) -> None:
+        self.follow(READER_IP, "10.0.0.3", "10.0.0.4")
+        self.now += tables.MAX_AGE_S + 0.1
+        chosen = []
+        for number in range(5):
+            self.tables.add_subscriber(mock.Mock(peer=f"10.0.1.{number}"), frames.Subscribe({}))
+            chosen.append(self.tables.reader)
+        self.assertEqual(["10.0.0.3"] * 5, chosen)
+        self.tables._stop_reading()
+
     def be_remote(self, rank: int) -> None:
         """Make the own region remote from the store, with this balancer at a rank."""
         ips = [f"10.0.0.{10 + number}" for number in range(rank)]
