Let direct reads of a remote region not overlap

Turns for reads now are as long as the response at 384 kB of rows a second; turns to follow a balancer of another region, whose frames are about seven times smaller, are shorter than before.

--- a/waxwingspool/dispatch/readers.py
+++ b/waxwingspool/dispatch/readers.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "CATCH_UP_RATE",
+    "FOLLOW_RATE",
     "LOCAL_COUNT",
     "READER_COUNT",
     "REMOTE_COUNT",
@@ -31,11 +32,13 @@
 REMOTE_COUNT = 2
 # Number of balancers of the own region that are asked at all.
 CANDIDATE_COUNT = 8
-# Average rate, in bytes per second, at which the other balancers of a region together may read
-# tables from the store.
-CATCH_UP_RATE = 1024 * 1024
-# Longest time in seconds that a balancer without fresh rows waits for its turn to read.
-MAX_TURN_DELAY_S = 8.0
+# Average rate, in bytes of rows per second, at which the other balancers of a region together may
+# read tables from the store, and get them from balancers of another region: responses of the store
+# are larger than the rows, frames are compressed.
+CATCH_UP_RATE = 384 * 1024
+FOLLOW_RATE = 4 * 1024 * 1024
+# Longest time in seconds that a balancer without fresh rows waits for its turn.
+MAX_TURN_DELAY_S = 60.0
 
 
 def rank_balancers(region: str, eligible: Collection[str], members: Iterable[str]) -> list[str]:
@@ -114,18 +117,21 @@
     return min(usable, key=stale_since.__getitem__, default=own)
 
 
-def turn_delay_s(rank: int, table_bytes: int, remote: bool) -> float:
-    """Return how long a balancer without fresh rows waits before it reads the store, in seconds.
+def turn_delay_s(rank: int, table_bytes: int, remote: bool, direct: bool) -> float:
+    """Return how long a balancer without fresh rows waits for its turn, in seconds.
 
     :param rank: its position among the balancers of its region, 0 for the first.
     :param table_bytes: size in bytes of what it reads.
     :param remote: whether the responses pass the link between regions; then one balancer reads
         before all others.
+    :param direct: whether it reads the store, or else follows a balancer of another region.
 
-    >>> turn_delay_s(3, 1024 * 1024, False), turn_delay_s(5, 1024 * 1024, False)
+    >>> turn_delay_s(3, 384 * 1024, False, True), turn_delay_s(5, 384 * 1024, False, True)
     (0.0, 2.0)
-    >>> turn_delay_s(0, 1024 * 1024, True), turn_delay_s(2, 1024 * 1024, True)
+    >>> turn_delay_s(0, 384 * 1024, True, True), turn_delay_s(2, 384 * 1024, True, True)
     (0.0, 2.0)
+    >>> turn_delay_s(2, 1024 * 1024, True, False)
+    0.5
     """
     turns = rank if remote else max(0, rank - READER_COUNT + 1)
-    return min(MAX_TURN_DELAY_S, turns * table_bytes / CATCH_UP_RATE)
+    return min(MAX_TURN_DELAY_S, turns * table_bytes / (CATCH_UP_RATE if direct else FOLLOW_RATE))
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -57,7 +57,7 @@
 # Age of rows, in seconds, at which a reader that follows another one fails over, and time that the
 # next one has then. Shorter, so that its followers need not fail over.
 MAX_RELAY_AGE_S = FEED_LONG_POLL_S + 0.3
-RELAY_FAILOVER_TIMEOUT_S = 0.25
+RELAY_FAILOVER_TIMEOUT_S = 0.3
 # Same while no candidate is left that has not been tried, as in an outage of the store.
 EXHAUSTED_FAILOVER_TIMEOUT_S = 1.0
 # Time in seconds after which a reader that did not deliver fresh rows is tried again.
@@ -372,7 +372,7 @@
         if may_change and candidate not in (self._settings.ip, self._reader):
             self._follow(candidate)
         if self._reader is None:
-            if self._is_own_turn(MAX_LONE_TURN_DELAY_S):
+            if self._is_own_turn(max_delay_s=MAX_LONE_TURN_DELAY_S):
                 self._start_reading()
         elif may_change and candidate == self._settings.ip:
             # Followed until the own calls succeed, so that the followers' rows do not become old.
@@ -464,36 +464,40 @@
             # A failure is logged and makes the peer unavailable.
             await self._links.get_or_connect(peer)
 
-    def _is_own_turn(self, max_delay_s: float = float("inf")) -> bool:
+    def _is_own_turn(self, direct: bool = True, max_delay_s: float = float("inf")) -> bool:
         """Return whether this balancer may read the store, or follow a balancer of another region.
 
         Turns keep the link between regions from being saturated.
 
+        :param direct: whether to read the store.
         :param max_delay_s: longest time to wait for the turn, in seconds.
         """
         ranks = self._rank(self._settings.region)
         ahead = ranks[: ranks.index(self._settings.ip)]
-        delay_s = self._turn_delay_s(sum(1 for ip in ahead if self._links.available(ip)))
+        rank = sum(1 for ip in ahead if self._links.available(ip))
+        delay_s = self._turn_delay_s(rank, direct)
         if not delay_s:
             return True
         stale_since = max(self._started_at, self._fresh_at + MAX_AGE_S)
         first_turn_at = stale_since + min(delay_s, max_delay_s)
-        next_turn_at = self._yielded_at + min(self._turn_delay_s(len(ranks)), max_delay_s)
+        if not direct:
+            return time.monotonic() >= first_turn_at
+        next_turn_at = self._yielded_at + min(self._turn_delay_s(len(ranks), direct), max_delay_s)
         return time.monotonic() >= max(first_turn_at, next_turn_at)
 
-    def _turn_delay_s(self, rank: int) -> float:
+    def _turn_delay_s(self, rank: int, direct: bool) -> float:
         """Return how long a balancer of this region waits for its turn, in seconds."""
         if not self._reads_cross_regions():
             return 0.0
         copies = [self._copies[table] for table in self._required_tables]
         table_bytes = sum(len(row.value) for copy in copies for row in copy.rows.values())
         remote = self._members.region_next_to_store(self._settings.region) is not None
-        return readers.turn_delay_s(rank, max(table_bytes, MIN_TABLE_BYTES), remote)
+        return readers.turn_delay_s(rank, max(table_bytes, MIN_TABLE_BYTES), remote, direct)
 
     def _yield_turn(self) -> None:
         """Stop reading in vain, so that not all balancers read once the store responds again."""
         rank = self._rank(self._settings.region).index(self._settings.ip)
-        if self._reader is not None and self._is_failing() and self._turn_delay_s(rank):
+        if self._reader is not None and self._is_failing() and self._turn_delay_s(rank, True):
             self._yielded_at = time.monotonic()
             self._stop_reading()
 
@@ -561,7 +565,8 @@
         is_follower = any(peer_link.peer == ip for peer_link in self._subscribers)
         if is_follower or not self._links.available(ip):
             return False
-        return self._members.region_of(ip) == self._settings.region or self._is_own_turn()
+        is_local = self._members.region_of(ip) == self._settings.region
+        return is_local or self._is_own_turn(direct=False)
 
     def _candidates(self, failing: bool) -> list[str]:
         own_region = self._settings.region
