Renew subscriptions, so that rows do not seem to grow old

A subscription is now renewed every 60 s. Cost: one frame of about 60 bytes and its reply a minute and balancer.

test_age_does_not_grow_with_the_time_that_a_reader_is_followed fails without it.

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -81,6 +81,9 @@
 # that ranks higher. Randomised, so that balancers do not all change at once for a new member.
 MIN_FOLLOW_S = 4.0
 MAX_FOLLOW_S = 12.0
+# Interval in seconds at which a subscription is renewed: its reply relates the clocks of the two
+# balancers, which drift apart.
+SUBSCRIPTION_RENEWAL_S = 60.0
 # Interval at which the choice of a reader is checked, in seconds.
 SELECTION_INTERVAL_S = 0.1
 # Shortest time without a confirmed copy of a table that counts as an outage of the store, in
@@ -220,6 +223,7 @@
         # When the reader last told that newer rows are arriving.
         self._arriving_at = float("-inf")
         self._subscribe_task: asyncio.Future | None = None
+        self._subscribed_at = float("-inf")
         self._connect_tasks: list[asyncio.Future] = []
 
     @property
@@ -258,6 +262,7 @@
         try:
             while True:
                 self._select_reader()
+                self._renew_subscription()
                 if self._subscribers and self.age_s > MIN_ARRIVING_AGE_S and self._is_receiving():
                     self._broadcast(b"")
                 await asyncio.sleep(SELECTION_INTERVAL_S)
@@ -619,7 +624,18 @@
                 self._failovers += 1
             return
         if self._reader == reader:
-            peer_link.send(frames.Subscribe(self.versions(), time.monotonic()))
+            self._send_subscription(peer_link)
+
+    def _send_subscription(self, peer_link: link.Link) -> None:
+        self._subscribed_at = time.monotonic()
+        peer_link.send(frames.Subscribe(self.versions(), self._subscribed_at))
+
+    def _renew_subscription(self) -> None:
+        """Subscribe once more to a reader that has been followed for long."""
+        peer_link = None if self._reader is None else self._links.get(self._reader)
+        is_due = time.monotonic() - self._subscribed_at > SUBSCRIPTION_RENEWAL_S
+        if self._reader_is_fresh and is_due and peer_link is not None:
+            self._send_subscription(peer_link)
 
     def _unfollow(self) -> None:
         if self._reader is None:
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -378,6 +378,20 @@
         self.assertNotEqual(READER_IP, self.tables.reader)
         self.tables._stop_reading()
 
+    async def test_age_does_not_grow_with_the_time_that_a_reader_is_followed(self) -> None:
+        self.follow(READER_IP)
+        peer_link = link.Link(READER_IP, mock.Mock(), mock.Mock())
+        requests = [frames.Subscribe({}, self.now)]
+        self.links.get.return_value.send.side_effect = requests.append
+        for _ in range(600):
+            self.now += 1.0
+            requested_at = requests.pop().sent_at if requests else None
+            ages = {"op": (4, 0.1), "servers": (4, 0.1)}
+            frame = frames.TableAges(ages, self.now - 500.0, requested_at)
+            self.tables.receive_table_ages(peer_link, frame)
+            self.assertLess(self.tables.age_s, 0.1 + 1.0 + 0.2)
+            self.tables._renew_subscription()
+
     async def test_subscribers_are_told_whether_newer_rows_arrive(self) -> None:
         self.follow(READER_IP)
         subscriber = mock.Mock()
