Don't send a streamed body again in part

A body over 256 kB is streamed to the upstream while it arrives. If that upstream read all of it and refused the request, the request went on to a second upstream with its first 256 kB alone and the length of the whole; the next request on that connection was then written where the rest was due (UNASKED). The check asked whether anything was left in the buffer, and after the whole body had been read nothing was. The same check let an idempotent request with a long body be hedged. Both now ask whether the buffered part is the whole body; if not, the refusal is passed on, which is true.

test_body_that_was_streamed_to_one_upstream_is_not_sent_in_part_to_another failed before (sent to u1 and u2).

--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -75,6 +75,12 @@
     tried_upstreams: tuple[str, ...] = ()
     may_have_run: bool = False
 
+    @property
+    def body_is_whole(self) -> bool:
+        """Whether the buffered part is the whole body, so that it can be sent more than once."""
+        stream = self.request.body
+        return stream.complete and stream.received_bytes == len(self.body)
+
 
 class Forwarder:
     """Forwards callers' requests to upstreams.
@@ -253,7 +259,7 @@
             self._slot_manager.release(slot, health.Report(health.Outcome.UNUSED))
             self._refuse(context, 0.0, _STOPPING)
             return None
-        if context.route.idempotent and context.request.body.complete:
+        if context.route.idempotent and context.body_is_whole:
             return await self._send_hedged(context, slot)
         return await self._send(context, slot)
 
@@ -378,7 +384,7 @@
         """Whether the request may be sent to another upstream."""
         if context.attempts_sent >= context.route.max_attempts or context.connection.disconnected:
             return False
-        if not context.request.body.complete or context.request.body.buffered_bytes:
+        if not context.body_is_whole:
             # A part of the body was not buffered and cannot be sent again.
             return False
         if result.may_have_run and not context.route.idempotent:
--- a/waxwingspool/proxy/tests/test_forward.py
+++ b/waxwingspool/proxy/tests/test_forward.py
@@ -119,6 +119,39 @@
         await self.forward_request(straggler=True)
         self.assertEqual(["u1"], self.sent)
 
+    async def send_streamed(self, buffered: bytes, rest: bytes) -> list[tuple[str, int]]:
+        """Return upstream and bytes of each attempt; all consume the rest and are refused."""
+        sent = []
+        stream = body.Body(mock.Mock(), mock.Mock())
+        stream.feed(buffered)
+
+        async def refuse_after_reading(attempt: exchange.Attempt, *_: object) -> exchange.Result:
+            sent.append((attempt.target.id, len(attempt.body)))
+            attempt.request.body.feed(rest)
+            attempt.request.body.finish()
+            attempt.request.body.read_available()
+            return exchange.Result(health.Outcome.FULL, False, "turned away with status 503")
+
+        request = make_request()
+        request.body = stream
+        connection = mock.Mock(disconnected=False, response_started=False)
+        connection.connection_closed = asyncio.get_running_loop().create_future()
+        with mock.patch.object(exchange, "send", refuse_after_reading):
+            await self.make_forwarder().handle(connection, request)
+        self.assertEqual(503, connection.respond.call_args.args[1])
+        return sent
+
+    async def test_body_that_was_streamed_to_one_upstream_is_not_sent_in_part_to_another(self):
+        for self.kind in (routes.Kind.NON_IDEMPOTENT, routes.Kind.IDEMPOTENT):
+            first = bytes(forward.REQUEST_BUFFER_BYTES)
+            self.assertEqual([("u1", len(first))], await self.send_streamed(first, b"rest"))
+
+    async def test_body_that_was_buffered_whole_is_sent_to_another_upstream(self) -> None:
+        self.kind = routes.Kind.NON_IDEMPOTENT
+        first = bytes(forward.REQUEST_BUFFER_BYTES)
+        sent = await self.send_streamed(first, b"")
+        self.assertEqual([("u1", len(first)), ("u2", len(first))], sent)
+
     async def test_request_that_comes_late_in_a_planned_stop_is_refused_and_not_sent(self) -> None:
         connection = mock.Mock(disconnected=False)
         await self.make_forwarder(lambda _: False).handle(connection, make_request())
