--- a/waxwingspool/dispatch/readers.py
+++ b/waxwingspool/dispatch/readers.py
@@ -33,9 +33,9 @@
 # Number of balancers of the own region that are asked at all.
 CANDIDATE_COUNT = 8
 # Average rate, in bytes of rows per second, at which the other balancers of a region together may
-# read tables from the store, and get them from balancers of another region: responses of the store
-# are larger than the rows, frames are compressed.
+# read tables from the store. Its responses are larger than the rows.
 CATCH_UP_RATE = 384 * 1024
+# Same at which they may get tables from balancers of another region, whose frames are compressed.
 FOLLOW_RATE = 4 * 1024 * 1024
 # Longest time in seconds that a balancer without fresh rows waits for its turn.
 MAX_TURN_DELAY_S = 60.0
--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -42,8 +42,7 @@
 class Reading:
     """Rows that were read from the store.
 
-    :ivar confirmed_at: event loop time in seconds at which the store answered, at the earliest; the
-        response may have been on its way for long.
+    :ivar confirmed_at: event loop time in seconds at which the store answered, at the earliest.
     """
 
     page: store.Page
@@ -124,6 +123,7 @@
         target = store.changes_request(table, after, wait_s)
         sent_at = asyncio.get_running_loop().time()
         page = store.decode_page(await self._call(b"GET", target, b"", wait_s))
+        # Without changes, the store does not answer before the wait is over.
         waited = not page.rows and asyncio.get_running_loop().time() - sent_at >= wait_s
         return self._to_reading(page, sent_at + wait_s if waited else sent_at)
 
