Hold stale listings in the soak until the configuration has been checked

Cause: the soak chose when listings are stale and when it checks the balancers independently of each other.

Other soak runs get longer stale listings too, which is stricter.

--- a/standins/deployment/soak.py
+++ b/standins/deployment/soak.py
@@ -34,6 +34,8 @@
 EARLY_DISCONNECT_SHARE = 0.15
 # Service that each kind of request is routed to.
 SERVICE_BY_KIND = {"lookup": "tags", "pay": "till", "upload": "till"}
+# Rounds of checks until one of them has begun after a change; the first may be under way already.
+CHECKS_PER_CHANGE = 2
 # Interval at which the soak measures its own event loop lag, in seconds.
 LAG_POLL_S = 0.1
 # Statuses that tell a caller that its request has not run.
@@ -64,6 +66,32 @@
         self.violations.append(f"{promise}: {detail}")
 
 
+class Rounds:
+    """Rounds of a repeated check, which faults can wait for."""
+
+    def __init__(self) -> None:
+        self._completed = 0
+        self._ended = False
+        self._next_completion = asyncio.Event()
+
+    def complete(self) -> None:
+        """Complete a round."""
+        self._completed += 1
+        self._next_completion.set()
+        self._next_completion = asyncio.Event()
+
+    def end(self) -> None:
+        """Release everyone who waits; there are no more rounds."""
+        self._ended = True
+        self._next_completion.set()
+
+    async def wait_for(self, count: int) -> None:
+        """Wait until a number of rounds have been completed, or until there are no more."""
+        awaited = self._completed + count
+        while self._completed < awaited and not self._ended:
+            await self._next_completion.wait()
+
+
 class Soak:
     """One run of the soak."""
 
@@ -98,6 +126,7 @@
         # The balancer that each request was sent to, by request id.
         self._node_by_request: dict[str, cluster.Node] = {}
         self._sent_requests: list[tuple[float, str]] = []
+        self._configuration_checks = Rounds()
         self._lag_s = 0.0
         self._ends_at = 0.0
 
@@ -268,6 +297,8 @@
                         "configuration in time", f"{incarnation} lacks {version}"
                     )
                 caller.close()
+            self._configuration_checks.complete()
+        self._configuration_checks.end()
 
     def _is_stable(self, node: cluster.Node) -> bool:
         """Return whether neither the balancer nor the store has had a fault recently."""
@@ -353,18 +384,25 @@
             await store.compact()
         else:
             if fault == "stale":
-                store.snapshot()
-                await asyncio.sleep(self._rng.uniform(0.5, 3.0))
-                store.fault = "deaf"
-                await asyncio.sleep(self._rng.uniform(1.0, 2.0))
-                await store.compact()
+                await self._prepare_stale_listings()
             store.fault = fault
             await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+            if fault == "stale":
+                await self._configuration_checks.wait_for(CHECKS_PER_CHANGE)
             store.fault = None
         self._fault_ended_at["store"] = self._now()
         # Some pauses are long enough to check the promises that require a store without faults.
         await asyncio.sleep(self._rng.uniform(0.0, 3 * (MIN_STABLE_S + MAX_APPLY_S)))
 
+    async def _prepare_stale_listings(self) -> None:
+        """Record a listing, and discard the changes after it once balancers have applied some."""
+        store = self._cluster.store
+        store.snapshot()
+        await self._configuration_checks.wait_for(CHECKS_PER_CHANGE)
+        store.fault = "deaf"
+        await asyncio.sleep(self._rng.uniform(1.0, 2.0))
+        await store.compact()
+
     async def _inject_link_fault(self) -> None:
         """Inject a fault of the link to the store or to an upstream for a while."""
         relays = self._cluster.relays
