Make resets of the soak's links resets, not orderly closes

Cause: the relay reset connections by transport.abort(), which closes the socket. With no unread data, the kernel then sends FIN, and a body that is delimited by the end of its connection is complete with FIN. The same happened when one end of a link reset its connection: the relay closed the other in good order. Nobody else ends such a connection in the soak, as the upstream stops only when it is closed. The product is not affected: what it sends to callers has a length or is chunked, so a cut is visible whichever way the connection ends.

Change: the relay sets a linger time of 0 s, so that the close is a reset, and passes on resets as resets.

--- a/standins/deployment/relay.py
+++ b/standins/deployment/relay.py
@@ -1,9 +1,15 @@
 """A TCP relay on loopback that can delay, reset or block connections in one or both directions."""
 
 import asyncio
+import socket
+import struct
 
 __all__ = ["Relay"]
 
+# A linger time of 0 s makes a close reset the connection; without unread data, it would look like
+# an orderly close to the other end.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class Relay:
     """Forwards connections to an address.
@@ -26,7 +32,7 @@
     def reset(self) -> None:
         """Reset every open connection."""
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -34,7 +40,7 @@
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         self._writers |= {writer, target_writer}
         try:
@@ -43,7 +49,8 @@
                 self._forward(target_reader, writer, "back"),
             )
         except OSError:
-            pass
+            _reset(writer)
+            _reset(target_writer)
         finally:
             self._writers -= {writer, target_writer}
             writer.transport.abort()
@@ -59,3 +66,10 @@
                 writer.write(data)
                 await writer.drain()
         writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
