Discount the soak's own lag when it checks that work for nobody ends

Change: a meter notes when the event loop of the soak stood still, and the check discounts what falls between the caller's leaving and the end of the work. Where the soak is not late, the check is as strict as before.

--- a/standins/deployment/checker.py
+++ b/standins/deployment/checker.py
@@ -4,10 +4,12 @@
 
 from standins.deployment import client, cluster, upstream
 
-__all__ = ["Violation", "check_ledger"]
+__all__ = ["Violation", "check_ledger", "is_work_overdue"]
 
 # Window in which retries are counted, in seconds, as specified by the users.
 RETRY_WINDOW_S = 10.0
+# Time after a caller has disconnected within which its work must end, in seconds.
+MAX_CANCEL_S = 0.5
 
 # A violated promise and the details of the violation.
 Violation = tuple[str, str]
@@ -39,6 +41,18 @@
     return violations
 
 
+def is_work_overdue(
+    ledger: upstream.Ledger, request_id: str, disconnected_at: float, lag_s: float
+) -> bool:
+    """Return whether the work for a caller that has disconnected went on for too long.
+
+    :param disconnected_at: event loop time in seconds at which the caller disconnected.
+    :param lag_s: for how long the soak itself did not run until the work ended, in seconds.
+    """
+    ended_at = ledger.ended_at.get(request_id, 0.0)
+    return ended_at - disconnected_at - lag_s > MAX_CANCEL_S
+
+
 def _check_retries(ledger: upstream.Ledger, service: str, sent_at: list[float]) -> list[Violation]:
     """Check that the retries of all balancers together stay within the budget in every window.
 
--- a/standins/deployment/soak.py
+++ b/standins/deployment/soak.py
@@ -14,7 +14,7 @@
 import signal
 import sys
 
-from standins.deployment import checker, client, cluster, planted, upstream
+from standins.deployment import checker, client, cluster, lag, planted, upstream
 
 __all__ = ["Findings", "run"]
 
@@ -28,16 +28,14 @@
 # Time between SIGTERM and the kill, and the allowance for signal delivery, in seconds.
 GRACE_S = 6.0
 GRACE_SLACK_S = 0.5
-# Time after a caller has disconnected within which its work must end, in seconds.
-MAX_CANCEL_S = 0.5
 # Share of requests whose caller disconnects early.
 EARLY_DISCONNECT_SHARE = 0.15
 # Service that each kind of request is routed to.
 SERVICE_BY_KIND = {"lookup": "tags", "pay": "till", "upload": "till"}
 # Rounds of checks until one of them has begun after a change; the first may be under way already.
 CHECKS_PER_CHANGE = 2
-# Interval at which the soak measures its own event loop lag, in seconds.
-LAG_POLL_S = 0.1
+# Interval at which the soak checks whether a balancer has exited, in seconds.
+EXIT_POLL_S = 0.1
 # Statuses that tell a caller that its request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -127,11 +125,12 @@
         self._node_by_request: dict[str, cluster.Node] = {}
         self._sent_requests: list[tuple[float, str]] = []
         self._configuration_checks = Rounds()
-        self._lag_s = 0.0
+        self._lag = lag.LagMeter()
         self._ends_at = 0.0
 
     async def run(self) -> Findings:
         """Run the soak, check the ledger at the end and return the findings."""
+        measuring = asyncio.create_task(self._lag.run())
         try:
             await self._cluster.start()
             await asyncio.sleep(2.0)
@@ -142,7 +141,6 @@
                     for _ in range(3):
                         tasks.create_task(self._run_caller(node))
                 tasks.create_task(self._check_configurations())
-                tasks.create_task(self._measure_lag())
                 if self._planted_fault is not None:
                     tasks.create_task(self._watch_planted_fault())
                 for fault in (
@@ -158,21 +156,13 @@
         finally:
             if self.findings.violations and self._planted_fault is None:
                 self._print_logs()
+            measuring.cancel()
             await self._cluster.stop()
         return self.findings
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    async def _measure_lag(self) -> None:
-        """Measure the largest event loop lag of this process within the last grace time."""
-        lags: collections.deque[float] = collections.deque(maxlen=int(GRACE_S / LAG_POLL_S))
-        while self._now() < self._ends_at:
-            due_at = self._now() + LAG_POLL_S
-            await asyncio.sleep(LAG_POLL_S)
-            lags.append(self._now() - due_at)
-            self._lag_s = max(lags)
-
     # Callers
 
     async def _run_caller(self, node: cluster.Node) -> None:
@@ -219,16 +209,16 @@
         """Check that the work for a caller that has disconnected ends in time."""
         disconnected_at = self._now()
         ledger = self._cluster.ledger
-        await asyncio.sleep(2 * MAX_CANCEL_S + upstream.WORK_S * upstream.SLOW_FACTOR)
+        await asyncio.sleep(2 * checker.MAX_CANCEL_S + upstream.WORK_S * upstream.SLOW_FACTOR)
         link_fault_ended_at = self._fault_ended_at.get(
             ledger.last_upstream.get(request_id, ""), 0.0
         )
         fault_times = (self._interruption_ended_at.get(node.name, 0.0), link_fault_ended_at)
-        if (
-            ledger.ended_at.get(request_id, 0.0) > disconnected_at + MAX_CANCEL_S
-            and max(fault_times) < disconnected_at
-        ):
-            self.findings.record_late("work for nobody ends", f"{request_id} at {node.name}")
+        lag_s = self._lag.lag_s(disconnected_at, ledger.ended_at.get(request_id, 0.0))
+        overdue = checker.is_work_overdue(ledger, request_id, disconnected_at, lag_s)
+        if overdue and max(fault_times) < disconnected_at:
+            detail = f"{request_id} at {node.name}, soak's own lag {lag_s:.2f} s"
+            self.findings.record_late("work for nobody ends", detail)
 
     def _check_response(self, kind: str, response: client.Response, size: int) -> None:
         """Count a response, check its body, and record the request if it is reported as not run."""
@@ -340,7 +330,8 @@
         if not await self._exits_in_time(node):
             tail = " | ".join(self._cluster.read_log(node).splitlines()[-8:])
             detail = f"{node.name} {self._cluster.process_usage(node)}"
-            detail += f" soak's own lag {self._lag_s:.2f} s: {tail}"
+            lag_s = self._lag.lag_s(self._now() - GRACE_S, self._now())
+            detail += f" soak's own lag {lag_s:.2f} s: {tail}"
             self.findings.record_late("ends within its grace time", detail)
             self._cluster.signal(node, signal.SIGKILL)
             await node.process.wait()
@@ -354,9 +345,9 @@
         Only time in which the soak itself runs counts: when the whole machine is suspended for some
         seconds, the balancer's timers don't advance either.
         """
-        for _ in range(round((GRACE_S + GRACE_SLACK_S) / LAG_POLL_S)):
+        for _ in range(round((GRACE_S + GRACE_SLACK_S) / EXIT_POLL_S)):
             try:
-                async with asyncio.timeout(LAG_POLL_S):
+                async with asyncio.timeout(EXIT_POLL_S):
                     await node.process.wait()
                     return True
             except TimeoutError:
--- a/standins/virtual.py
+++ b/standins/virtual.py
@@ -33,6 +33,10 @@
         """Run the loop for a number of seconds of virtual time."""
         self.run_until_complete(asyncio.sleep(seconds))
 
+    def stand_still(self, seconds: float) -> None:
+        """Let virtual time pass without running anything, as when the process is suspended."""
+        self._clock.now += seconds
+
     def shutdown(self) -> None:
         """Cancel all tasks and close the loop."""
         pending = asyncio.all_tasks(self)
