--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -124,8 +124,7 @@
     ``after`` is the version of the table before these changes, ``None`` for a complete listing.
     ``age_s`` is the time in seconds since the store confirmed this version to the sender,
     ``sent_at`` the sender's monotonic time in seconds, and ``requested_at`` that of the receiver
-    in the ``Subscribe`` frame to which this is the reply. ``failed_age_s`` is the time in seconds
-    since a call to the store last failed, at the sender or at those whose rows it follows.
+    in the ``Subscribe`` frame to which this is the reply.
     """
 
     table: str
@@ -135,21 +134,19 @@
     age_s: float = 0.0
     sent_at: float | None = None
     requested_at: float | None = None
-    failed_age_s: float | None = None
 
 
 class TableAges(msgspec.Struct, array_like=True, tag=9):
     """Version and age in seconds of the sender's tables, except the members' table.
 
-    ``sent_at``, ``requested_at`` and ``failed_age_s`` are those of :class:`Rows`; ``arriving``
-    tells whether newer rows are arriving at the sender.
+    ``sent_at`` and ``requested_at`` are those of :class:`Rows`; ``arriving`` tells whether newer
+    rows are arriving at the sender.
     """
 
     ages: dict[str, tuple[int, float]]
     sent_at: float | None = None
     requested_at: float | None = None
     arriving: bool = False
-    failed_age_s: float | None = None
 
 
 class Unsubscribe(msgspec.Struct, array_like=True, tag=10):
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -203,8 +203,6 @@
         self._read_tasks: dict[str, asyncio.Task] = {}
         self._rng = random.Random()
         self._recovered_at = float("-inf")
-        # When a call to the store last failed, here or at the balancers that this one follows.
-        self._store_failed_at = float("-inf")
         self._followed_since = 0.0
         self._follow_until = 0.0
         self._failovers = 0
@@ -308,7 +306,6 @@
         copy = self._copies.get(frame.table)
         if copy is None:
             return False
-        self._adopt_store_failure(peer_link, frame)
         rows = tuple(store.Row(key, value, version) for key, version, value in frame.rows)
         if frame.after is not None and frame.after > copy.version:
             return True
@@ -319,7 +316,6 @@
 
     def receive_table_ages(self, peer_link: link.Link, frame: frames.TableAges) -> None:
         """Adopt the ages of the reader's tables; request listings of those that are newer."""
-        self._adopt_store_failure(peer_link, frame)
         if peer_link.peer != self._reader:
             return
         self._heard_at = time.monotonic()
@@ -341,14 +337,6 @@
         if self._subscribers and self._fresh_at > self._forwarded_fresh_at + MIN_AGE_PROGRESS_S:
             self._broadcast(b"")
 
-    def _adopt_store_failure(
-        self, peer_link: link.Link, frame: frames.Rows | frames.TableAges
-    ) -> None:
-        """Adopt the time at which a peer last learned that a call to the store had failed."""
-        if frame.failed_age_s is not None:
-            failed_at = _sent_at(peer_link, frame) - frame.failed_age_s
-            self._store_failed_at = max(self._store_failed_at, failed_at)
-
     def handle_lost_link(self, peer_link: link.Link) -> None:
         """Remove a peer whose link has closed as subscriber and as reader."""
         self._subscribers.discard(peer_link)
@@ -369,7 +357,6 @@
                 reading = await self._client.get_listing(members.TABLE)
             except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
                 failures += 1
-                self._store_failed_at = time.monotonic()
                 eventlog.event("members.not-listed", error=error, failures=failures)
                 await asyncio.sleep(self._retry_delay_s(failures))
                 continue
@@ -709,7 +696,6 @@
             except exceptions.StoreUnavailable as error:
                 failures += 1
                 self._failed_calls[table] = failures
-                self._store_failed_at = time.monotonic()
                 if failures == 1:
                     eventlog.event("store.lost", table=table, error=error, age_s=self.age_s)
                 await asyncio.sleep(self._retry_delay_s(failures))
@@ -767,15 +753,11 @@
     def _mark_fresh(self, copy: _TableCopy, confirmed_at: float) -> None:
         """Record that the store confirmed a copy, and detect the end of an outage.
 
-        Rows that were only late, as those of a reader that was cut off, are no sign of an outage:
-        the store served others meanwhile, and upstreams kept their leases.
-
         :param confirmed_at: monotonic time in seconds of the confirmation.
         """
         if (
             confirmed_at - copy.fresh_at > MIN_OUTAGE_S
             and copy.fresh_at > 0
-            and self._store_failed_at > copy.fresh_at
             and confirmed_at - self._recovered_at > MIN_OUTAGE_S
         ):
             is_required = any(copy is self._copies[table] for table in self._required_tables)
@@ -797,10 +779,7 @@
         # a frame, subscribers would seem to have missed changes and request a listing.
         if copy.version > previous_version or complete:
             now = time.monotonic()
-            age_s, failed_age_s = now - copy.fresh_at, self._failed_age_s(now)
-            frame = frames.Rows(
-                table, after, copy.version, encoded, age_s, now, failed_age_s=failed_age_s
-            )
+            frame = frames.Rows(table, after, copy.version, encoded, now - copy.fresh_at, now)
             data = frames.encode(frame)
         if table == members.TABLE:
             for peer_link in self._subscribers:
@@ -843,10 +822,8 @@
             return
         encoded = [(row.key, row.version, row.value) for row in rows]
         now = time.monotonic()
-        age_s, failed_age_s = now - copy.fresh_at, self._failed_age_s(now)
-        peer_link.send(
-            frames.Rows(table, after, copy.version, encoded, age_s, now, requested_at, failed_age_s)
-        )
+        age_s = now - copy.fresh_at
+        peer_link.send(frames.Rows(table, after, copy.version, encoded, age_s, now, requested_at))
 
     def _table_ages(self, requested_at: float | None = None) -> frames.TableAges:
         now = time.monotonic()
@@ -855,15 +832,7 @@
             for table, copy in self._copies.items()
             if copy.version >= 0 and table != members.TABLE
         }
-        return frames.TableAges(
-            ages, now, requested_at, self._is_receiving(), self._failed_age_s(now)
-        )
-
-    def _failed_age_s(self, now: float) -> float | None:
-        """Return the time in seconds since a call to the store failed, ``None`` if none has."""
-        if self._store_failed_at == float("-inf"):
-            return None
-        return round(now - self._store_failed_at, 3)
+        return frames.TableAges(ages, now, requested_at, self._is_receiving())
 
 
 def _sent_at(peer_link: link.Link, frame: frames.Rows | frames.TableAges) -> float:
