Hold removals after an outage only when a large part of a service lapses

Cause: some upstreams report no draining when they leave, their row is removed. Kumasi's rows are 2.5 to 3.2 s old when it catches up, because the balancers of Accra that it follows are cut off from the store. More than 2 s without a confirmation count as an outage of the store, and after an outage removals are held for 2 s, because upstreams whose leases lapsed meanwhile register again. Trace: store.returned at 5.35 to 5.88 s, removal of i-b3c11a5938 at 7.29 to 8.12 s; the balancers of Accra that were not cut off removed it at 4.36 to 4.44 s.

Change: the hold is for what it is needed for. When at least half of the upstreams of a service are removed in the 2 s, the removals are held as before; fewer take effect at once. Removals of one update are counted together. What this costs: up to half of a service may be missing for 2 s if it did lapse. No calls, no bytes.

--- a/waxwingspool/catalog/tests/test_upstreams.py
+++ b/waxwingspool/catalog/tests/test_upstreams.py
@@ -1,5 +1,6 @@
 """Tests of the upstream registry: row order, address reuse and store outages."""
 
+import dataclasses
 import unittest
 
 from waxwingspool.catalog import upstreams
@@ -47,6 +48,61 @@
         self.registry.expire()
         self.assertEqual([], self.usable())
 
+    def register(self, count: int) -> list[str]:
+        """Register upstreams of one service and return their ids."""
+        ids = [f"u{number}" for number in range(count)]
+        self.registry.apply(make_upstream(id_, 1, port=port) for port, id_ in enumerate(ids))
+        return ids
+
+    def test_single_upstream_that_left_while_rows_were_late_is_removed_at_once(self) -> None:
+        ids = self.register(9)
+        self.registry.record_store_recovery()
+        self.registry.apply([upstreams.Removal("u0", 2)])
+        self.assertEqual(ids[1:], self.usable())
+
+    def test_upstream_missing_from_a_listing_after_late_rows_is_removed_at_once(self) -> None:
+        ids = self.register(9)
+        self.registry.record_store_recovery()
+        self.registry.replace(
+            make_upstream(id_, 2, port=port) for port, id_ in enumerate(ids[1:], start=1)
+        )
+        self.assertEqual(ids[1:], self.usable())
+
+    def test_lapse_of_half_a_service_is_delayed(self) -> None:
+        ids = self.register(8)
+        self.registry.record_store_recovery()
+        self.registry.apply(upstreams.Removal(id_, 2) for id_ in ids[:4])
+        self.assertEqual(ids, self.usable())
+
+    def test_lapses_that_arrive_one_by_one_leave_over_half_a_service(self) -> None:
+        ids = self.register(8)
+        self.registry.record_store_recovery()
+        for id_ in ids:
+            self.registry.apply([upstreams.Removal(id_, 2)])
+        self.assertEqual(ids[3:], self.usable())
+        self.now += upstreams.REREGISTRATION_S + 0.01
+        self.registry.expire()
+        self.assertEqual([], self.usable())
+
+    def test_removals_long_after_a_recovery_are_not_counted_as_lapses(self) -> None:
+        ids = self.register(8)
+        self.registry.record_store_recovery()
+        self.now += upstreams.REREGISTRATION_S + 0.01
+        for id_ in ids[:4]:
+            self.registry.apply([upstreams.Removal(id_, 2)])
+            self.assertNotIn(id_, self.usable())
+        self.registry.record_store_recovery()
+        self.registry.apply([upstreams.Removal(ids[4], 2)])
+        self.assertEqual(ids[5:], self.usable())
+
+    def test_lapse_of_a_small_service_is_delayed_beside_a_large_one(self) -> None:
+        self.register(9)
+        other = dataclasses.replace(make_upstream("v", 1, port=20), service="till")
+        self.registry.apply([other])
+        self.registry.record_store_recovery()
+        self.registry.apply([upstreams.Removal("v", 2)])
+        self.assertIn("v", self.usable())
+
     def test_reregistration_cancels_a_delayed_removal(self) -> None:
         self.registry.apply([make_upstream("u", 1)])
         self.registry.record_store_recovery()
--- a/waxwingspool/catalog/upstreams.py
+++ b/waxwingspool/catalog/upstreams.py
@@ -1,10 +1,13 @@
 """Registry of the upstreams listed in the metadata store.
 
 An upstream whose lease expires during a store outage registers again within
-:data:`REREGISTRATION_S` of the store's recovery. Removals during this time are delayed until its
-end, so that an outage does not leave a service without upstreams.
+:data:`REREGISTRATION_S` of the store's recovery. When a large part of a service is removed during
+this time, the removals are delayed until its end, so that an outage does not leave a service
+without upstreams. Single removals take effect immediately: some upstreams that shut down are
+removed without having been marked as draining, and must get no new requests.
 """
 
+import collections
 import dataclasses
 from collections.abc import Callable, Iterable
 
@@ -15,6 +18,8 @@
 # Time after the store's recovery within which upstreams with expired leases register again, in
 # seconds; specified by the operators of the store.
 REREGISTRATION_S = 2.0
+# Smallest share of the upstreams of a service whose removal counts as expired leases.
+MIN_LAPSED_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,7 +66,12 @@
         self._clock = clock
         self._upstreams: dict[str, Upstream] = {}
         self._removal_due_at: dict[str, float] = {}
-        self._store_recovered_at = float("-inf")
+        # When all upstreams that are alive have registered again after the store's last recovery.
+        self._reregistered_at = float("-inf")
+        # At the store's recovery, the number of upstreams of each service that were not draining,
+        # and the ids of those that have been removed since.
+        self._registered: collections.Counter[str] = collections.Counter()
+        self._lapsed: dict[str, set[str]] = collections.defaultdict(set)
 
     @property
     def upstreams(self) -> dict[str, Upstream]:
@@ -70,10 +80,16 @@
 
     def record_store_recovery(self) -> None:
         """Record that the store has recovered from an outage."""
-        self._store_recovered_at = self._clock()
+        self._reregistered_at = self._clock() + REREGISTRATION_S
+        self._registered = collections.Counter(
+            upstream.service for upstream in self._upstreams.values() if not upstream.draining
+        )
+        self._lapsed.clear()
 
     def apply(self, changes: Iterable[Change]) -> None:
         """Apply changes, oldest first; a row never replaces one with a higher version."""
+        changes = list(changes)
+        self._record_lapses(change for change in changes if isinstance(change, Removal))
         for change in changes:
             if isinstance(change, Removal):
                 self._remove(change)
@@ -83,9 +99,14 @@
     def replace(self, upstreams: Iterable[Upstream]) -> None:
         """Apply a complete listing; upstreams that are not listed are removed."""
         listed = {upstream.id: upstream for upstream in upstreams}
-        for id_ in list(self._upstreams):
-            if id_ not in listed:
-                self._remove(Removal(id_, self._upstreams[id_].row_version))
+        removals = [
+            Removal(id_, upstream.row_version)
+            for id_, upstream in self._upstreams.items()
+            if id_ not in listed
+        ]
+        self._record_lapses(removals)
+        for removal in removals:
+            self._remove(removal)
         for upstream in listed.values():
             self._update(upstream)
 
@@ -114,15 +135,34 @@
         if current is not None and current.row_version > upstream.row_version:
             return
         self._removal_due_at.pop(upstream.id, None)
+        self._lapsed[upstream.service].discard(upstream.id)
         self._upstreams[upstream.id] = upstream
 
-    def _remove(self, removal: Removal) -> None:
+    def _record_lapses(self, removals: Iterable[Removal]) -> None:
+        """Count removals that arrive together, before any of them takes effect."""
+        if self._clock() >= self._reregistered_at:
+            return
+        for removal in removals:
+            if self._is_removable(removal):
+                current = self._upstreams[removal.id]
+                if not current.draining:
+                    self._lapsed[current.service].add(removal.id)
+
+    def _is_removable(self, removal: Removal) -> bool:
         current = self._upstreams.get(removal.id)
-        if current is None or current.row_version > removal.row_version:
+        return current is not None and current.row_version <= removal.row_version
+
+    def _has_lapsed(self, service: str) -> bool:
+        """Return whether a large part of a service has been removed since the recovery."""
+        return len(self._lapsed[service]) >= MIN_LAPSED_SHARE * self._registered[service]
+
+    def _remove(self, removal: Removal) -> None:
+        if not self._is_removable(removal):
             return
-        due_at = self._store_recovered_at + REREGISTRATION_S
-        if due_at > self._clock() and not current.draining:
-            self._removal_due_at.setdefault(removal.id, due_at)
+        current = self._upstreams[removal.id]
+        may_return = not current.draining and self._has_lapsed(current.service)
+        if self._clock() < self._reregistered_at and may_return:
+            self._removal_due_at.setdefault(removal.id, self._reregistered_at)
         else:
             self._removal_due_at.pop(removal.id, None)
             del self._upstreams[removal.id]
