--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -95,6 +95,17 @@
             self.on_recovery,
         )
 
+    def rank(self, *others: str) -> None:
+        """Add balancers that rank in this order, and before this one."""
+        for ip in others:
+            self.members.update(ip, members.encode(make_settings(ip)))
+        ranks = [*others, OWN_IP]
+        patcher = mock.patch.object(
+            tables.readers.election, "ranking", lambda job, ips: [ip for ip in ranks if ip in ips]
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
     def receive(self, table: str, after: int | None, version: int, *rows: tuple) -> bool:
         frame = frames.Rows(table, after, version, list(rows))
         return self.tables.receive_rows(mock.Mock(peer=READER_IP), frame)
@@ -212,16 +223,13 @@
         self.on_recovery.assert_not_called()
 
     async def test_stale_reader_is_suspected_and_store_is_read_directly(self) -> None:
-        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
-        ):
-            self.tables._select_reader()
-            self.assertEqual(READER_IP, self.tables.reader)
-            self.assertFalse(self.tables.is_reading)
-            self.now += tables.MAX_AGE_S + 0.1
-            self.links.available.return_value = False
-            self.tables._select_reader()
+        self.rank(READER_IP)
+        self.tables._select_reader()
+        self.assertEqual(READER_IP, self.tables.reader)
+        self.assertFalse(self.tables.is_reading)
+        self.now += tables.MAX_AGE_S + 0.1
+        self.links.available.return_value = False
+        self.tables._select_reader()
         self.links.suspect.assert_called_once()
         self.assertIsNone(self.tables.reader)
         self.assertTrue(self.tables.is_reading)
@@ -250,49 +258,40 @@
         self.tables._stop_reading()
 
     async def test_reader_is_suspected_only_later_while_its_frame_arrives(self) -> None:
-        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        self.rank(READER_IP)
         self.links.get.return_value.receiving = True
-        with mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
-        ):
-            for table in ("op", "servers"):
-                self.receive(table, None, 4)
-            self.tables._select_reader()
-            self.now += tables.MAX_AGE_S + tables.RECEIVE_EXTENSION_S - 0.1
-            self.tables._select_reader()
-            self.links.suspect.assert_not_called()
-            self.assertFalse(self.tables.is_reading)
-            self.now += 0.2
-            self.tables._select_reader()
+        for table in ("op", "servers"):
+            self.receive(table, None, 4)
+        self.tables._select_reader()
+        self.now += tables.MAX_AGE_S + tables.RECEIVE_EXTENSION_S - 0.1
+        self.tables._select_reader()
+        self.links.suspect.assert_not_called()
+        self.assertFalse(self.tables.is_reading)
+        self.now += 0.2
+        self.tables._select_reader()
         self.links.suspect.assert_called_once()
         self.tables._stop_reading()
 
     async def test_direct_reads_continue_until_a_reader_is_fresh(self) -> None:
-        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
+        self.rank(READER_IP)
         peer_link = mock.Mock(peer=READER_IP)
-        with mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
-        ):
-            self.tables._select_reader()
-            self.tables._failovers = 2
-            self.tables._select_reader()
-            self.assertTrue(self.tables.is_reading)
-            self.receive("op", None, 4)
-            self.receive("servers", None, 4)
-            self.tables._select_reader()
-            self.assertTrue(self.tables.is_reading)
-            self.tables.receive_table_ages(
-                peer_link, frames.TableAges({"op": (4, 0.1), "servers": (4, 0.1)})
-            )
-            self.tables._select_reader()
+        self.tables._select_reader()
+        self.tables._failovers = 2
+        self.tables._select_reader()
+        self.assertTrue(self.tables.is_reading)
+        self.receive("op", None, 4)
+        self.receive("servers", None, 4)
+        self.tables._select_reader()
+        self.assertTrue(self.tables.is_reading)
+        self.tables.receive_table_ages(
+            peer_link, frames.TableAges({"op": (4, 0.1), "servers": (4, 0.1)})
+        )
+        self.tables._select_reader()
         self.assertFalse(self.tables.is_reading)
 
     async def test_age_reported_by_the_reader_is_adopted(self) -> None:
-        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
-        ):
-            self.tables._select_reader()
+        self.rank(READER_IP)
+        self.tables._select_reader()
         self.receive("op", None, 4)
         self.receive("servers", None, 4)
         self.now += 5
@@ -302,11 +301,8 @@
         self.assertAlmostEqual(0.7, self.tables.age_s)
 
     async def test_time_that_frames_wait_on_the_way_counts_as_age(self) -> None:
-        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
-        ):
-            self.tables._select_reader()
+        self.rank(READER_IP)
+        self.tables._select_reader()
         peer_link = link.Link(READER_IP, mock.Mock(), mock.Mock())
         clock_difference_s = 500.0
         for table in ("op", "servers"):
@@ -319,11 +315,8 @@
         self.assertAlmostEqual(2.0, self.tables.age_s, delta=5 * clock.MAX_CLOCK_DRIFT)
 
     async def test_first_frame_of_a_link_is_as_old_as_the_request_at_most(self) -> None:
-        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
-        ):
-            self.tables._select_reader()
+        self.rank(READER_IP)
+        self.tables._select_reader()
         peer_link = link.Link(READER_IP, mock.Mock(), mock.Mock())
         requested_at, sent_at = self.now, self.now - 500.0
         self.now += 3
@@ -346,14 +339,7 @@
 
     def follow(self, reader: str, *others: str) -> mock.Mock:
         """Follow a reader that ranks before the others, and these before this balancer."""
-        for ip in (reader, *others):
-            self.members.update(ip, members.encode(make_settings(ip)))
-        ranks = [reader, *others, OWN_IP]
-        patcher = mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [ip for ip in ranks if ip in ips]
-        )
-        patcher.start()
-        self.addCleanup(patcher.stop)
+        self.rank(reader, *others)
         for table in ("op", "servers"):
             self.receive(table, None, 4)
         self.tables._select_reader()
@@ -492,21 +478,15 @@
         self.assertEqual("10.1.0.1", self.tables._candidates(False)[-1])
 
     async def test_listing_is_requested_from_a_reader_that_is_ahead(self) -> None:
-        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
-        ):
-            self.tables._select_reader()
+        self.rank(READER_IP)
+        self.tables._select_reader()
         peer_link = mock.Mock(peer=READER_IP)
         self.tables.receive_table_ages(peer_link, frames.TableAges({"op": (9, 0.1)}))
         peer_link.send.assert_called_once_with(frames.ListingRequest("op"))
 
     async def test_version_without_changes_reaches_subscribers_without_a_listing(self) -> None:
-        self.members.update(READER_IP, members.encode(make_settings(READER_IP)))
-        with mock.patch.object(
-            tables.readers.election, "ranking", lambda job, ips: [READER_IP, OWN_IP]
-        ):
-            self.tables._select_reader()
+        self.rank(READER_IP)
+        self.tables._select_reader()
         subscriber = mock.Mock()
         self.receive("op", None, 4, ("config", 4, b"x"))
         self.tables._subscribers.add(subscriber)
