--- a/standins/deployment/relay.py
+++ b/standins/deployment/relay.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 
-__all__ = ["Relay"]
+__all__ = ["Relay", "reset"]
 
 # A linger time of 0 s makes a close reset the connection; without unread data, it would look like
 # an orderly close to the other end.
@@ -32,7 +32,7 @@
     def reset(self) -> None:
         """Reset every open connection."""
         for writer in list(self._writers):
-            _reset(writer)
+            reset(writer)
 
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -40,7 +40,7 @@
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
-            _reset(writer)
+            reset(writer)
             return
         self._writers |= {writer, target_writer}
         try:
@@ -49,8 +49,8 @@
                 self._forward(target_reader, writer, "back"),
             )
         except OSError:
-            _reset(writer)
-            _reset(target_writer)
+            reset(writer)
+            reset(target_writer)
         finally:
             self._writers -= {writer, target_writer}
             writer.transport.abort()
@@ -68,7 +68,8 @@
         writer.close()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, so that its other end does not take it for closed in good order."""
     connection = writer.get_extra_info("socket")
     if connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/standins/tests/test_relay.py
+++ b/standins/tests/test_relay.py
@@ -1,16 +1,12 @@
 """Tests of the relay with real connections on loopback."""
 
 import asyncio
-import socket
-import struct
 import unittest
 
 from standins.deployment import relay
 
 IP = "127.250.0.1"
 SERVER_PORT, RELAY_PORT = 18100, 18400
-# A linger time of 0 s makes a close reset the connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class RelayTest(unittest.IsolatedAsyncioTestCase):
@@ -39,9 +35,7 @@
                 await reader.read()
 
     async def test_reset_by_one_end_is_not_an_orderly_close_at_the_other(self) -> None:
-        connection = self.server_writer.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.server_writer.transport.abort()
+        relay.reset(self.server_writer)
         with self.assertRaises(ConnectionResetError):
             await self.reader.read()
 
