Check first whether a region has turns, and build frames of rows in one place

Each look at the readers counted the balancers ahead and ranked the own one before asking whether turns apply at all, which they do not next to the store. The check comes first now, once per call. Frames of rows were put together in two places with the same fields; both call one method. Behaviour and frames are unchanged: the tests of the fleet pass as they are.

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -477,6 +477,8 @@
         :param direct: whether to read the store.
         :param max_delay_s: longest time to wait for the turn, in seconds.
         """
+        if not self._reads_cross_regions():
+            return True
         ranks = self._rank(self._settings.region)
         ahead = ranks[: ranks.index(self._settings.ip)]
         rank = sum(1 for ip in ahead if self._links.available(ip))
@@ -491,9 +493,10 @@
         return time.monotonic() >= max(first_turn_at, next_turn_at)
 
     def _turn_delay_s(self, rank: int, direct: bool) -> float:
-        """Return how long a balancer of this region waits for its turn, in seconds."""
-        if not self._reads_cross_regions():
-            return 0.0
+        """Return how long a balancer of this region waits for its turn, in seconds.
+
+        Only regions whose reads cross a link between regions have turns.
+        """
         copies = [self._copies[table] for table in self._required_tables]
         table_bytes = sum(len(row.value) for copy in copies for row in copy.rows.values())
         remote = self._members.region_next_to_store(self._settings.region) is not None
@@ -501,8 +504,10 @@
 
     def _yield_turn(self) -> None:
         """Stop reading in vain, so that not all balancers read once the store responds again."""
+        if self._reader is None or not self._is_failing() or not self._reads_cross_regions():
+            return
         rank = self._rank(self._settings.region).index(self._settings.ip)
-        if self._reader is not None and self._is_failing() and self._turn_delay_s(rank, True):
+        if self._turn_delay_s(rank, True):
             self._yielded_at = time.monotonic()
             self._stop_reading()
 
@@ -771,16 +776,13 @@
     ) -> None:
         if not self._subscribers:
             return
-        encoded = [(row.key, row.version, row.value) for row in rows]
         after = None if complete else previous_version
         copy = self._copies[table]
         data = b""
         # The version is that of the whole store, so it also increases without changes here. Without
         # a frame, subscribers would seem to have missed changes and request a listing.
         if copy.version > previous_version or complete:
-            now = time.monotonic()
-            frame = frames.Rows(table, after, copy.version, encoded, now - copy.fresh_at, now)
-            data = frames.encode(frame)
+            data = frames.encode(self._rows_frame(table, after, rows))
         if table == members.TABLE:
             for peer_link in self._subscribers:
                 peer_link.send_encoded(data)
@@ -817,13 +819,21 @@
         rows: Iterable[store.Row],
         requested_at: float | None,
     ) -> None:
+        if self._copies[table].version >= 0:
+            peer_link.send(self._rows_frame(table, after, rows, requested_at))
+
+    def _rows_frame(
+        self,
+        table: str,
+        after: int | None,
+        rows: Iterable[store.Row],
+        requested_at: float | None = None,
+    ) -> frames.Rows:
         copy = self._copies[table]
-        if copy.version < 0:
-            return
         encoded = [(row.key, row.version, row.value) for row in rows]
         now = time.monotonic()
         age_s = now - copy.fresh_at
-        peer_link.send(frames.Rows(table, after, copy.version, encoded, age_s, now, requested_at))
+        return frames.Rows(table, after, copy.version, encoded, age_s, now, requested_at)
 
     def _table_ages(self, requested_at: float | None = None) -> frames.TableAges:
         now = time.monotonic()
