--- a/waxwingspool/platform/headers.py
+++ b/waxwingspool/platform/headers.py
@@ -1,13 +1,18 @@
 """Header names and the readiness path defined by the platform."""
 
 import math
+import re
 
 from waxwingspool.proxy import header_names
 
-__all__ = ["HEADER_NAMES", "READINESS_PATH", "parse_load"]
+__all__ = ["HEADER_NAMES", "READINESS_PATH", "parse_load", "parse_rate_limit"]
 
 # Path at which the platform checks whether this balancer accepts new connections.
 READINESS_PATH = "/v1/readiness"
+# Longest text of a rate limit, in characters: more digits than a double holds.
+MAX_RATE_LIMIT_CHARS = 32
+
+_DECIMAL = re.compile(r"(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?", re.ASCII)
 
 
 def parse_load(text: str) -> header_names.Load | None:
@@ -32,6 +37,31 @@
     return header_names.Load(int(running), int(waiting), int(slots), slowdown)
 
 
+def parse_rate_limit(text: str) -> float:
+    """Parse the header in which an upstream names its rate limit.
+
+    If the upstream names several limits, the lowest one that can be read holds.
+
+    :returns: requests per second that the upstream takes from all balancers together.
+    :raises ValueError: the text holds no finite number of at least zero.
+
+    >>> parse_rate_limit("2.5"), parse_rate_limit("3, 1")
+    (2.5, 1.0)
+    """
+    rates = [_parse_rate(part.strip()) for part in text.split(",")]
+    readable = [rate for rate in rates if rate is not None]
+    if not readable:
+        raise ValueError(f"not a rate limit: {text[:MAX_RATE_LIMIT_CHARS]!r}")
+    return min(readable)
+
+
+def _parse_rate(text: str) -> float | None:
+    if len(text) > MAX_RATE_LIMIT_CHARS or not _DECIMAL.fullmatch(text):
+        return None
+    rate = float(text)
+    return rate if math.isfinite(rate) else None
+
+
 HEADER_NAMES = header_names.HeaderNames(
     request_id=b"x-request-id",
     # Remaining time in milliseconds until the caller's deadline.
@@ -44,4 +74,7 @@
     not_run=b"x-not-executed",
     load=b"x-server-load",
     parse_load=parse_load,
+    # Requests per second that the upstream takes from all balancers together.
+    rate_limit=b"server-limit",
+    parse_rate_limit=parse_rate_limit,
 )
--- a/waxwingspool/platform/tests/test_decoding.py
+++ b/waxwingspool/platform/tests/test_decoding.py
@@ -138,6 +138,22 @@
                 self.assertIsNone(headers.parse_load(text))
 
 
+class RateLimitTest(unittest.TestCase):
+    def test_decimal_numbers_are_read(self) -> None:
+        for text, rate in (("1", 1.0), ("2.2", 2.2), (" 0 ", 0.0), (".5", 0.5), ("1e-05", 1e-5)):
+            with self.subTest(text):
+                self.assertEqual(rate, headers.parse_rate_limit(text))
+
+    def test_lowest_of_several_limits_holds(self) -> None:
+        self.assertEqual(1.0, headers.parse_rate_limit("3, 1, many"))
+
+    def test_text_that_is_no_finite_number_of_at_least_zero_is_rejected(self) -> None:
+        texts = "", "-1", "nan", "inf", "1e400", "1_000", "many", "\xb2", "1/s", "0." + "0" * 5000
+        for text in texts:
+            with self.subTest(text[:20]), self.assertRaises(ValueError):
+                headers.parse_rate_limit(text)
+
+
 class StoreTest(unittest.TestCase):
     def test_rows_and_deleted_rows_are_decoded(self) -> None:
         rows = [
--- a/waxwingspool/proxy/exchange.py
+++ b/waxwingspool/proxy/exchange.py
@@ -5,6 +5,7 @@
 
 from waxwingspool.catalog import upstreams
 from waxwingspool.dispatch import health
+from waxwingspool.observe import eventlog
 from waxwingspool.proxy import caller, header_names, message, pool, upstream
 
 __all__ = ["Attempt", "BufferedResponse", "Result", "send"]
@@ -40,6 +41,7 @@
     :ivar reason: text for the log, and for the caller if no response is forwarded.
     :ivar seconds: duration of the exchange without the time to connect.
     :ivar slowdown: slowdown from the load that the upstream reports, ``None`` if not reported.
+    :ivar rate_limit: requests per second that the upstream takes, ``None`` if it names no limit.
     :ivar buffered_response: the response, ``None`` if there is none that can be forwarded.
     :ivar connection: the connection that the rest of a streamed response arrives on.
     """
@@ -49,6 +51,7 @@
     reason: str
     seconds: float = 0.0
     slowdown: float | None = None
+    rate_limit: float | None = None
     buffered_response: BufferedResponse | None = None
     connection: upstream.Connection | None = None
 
@@ -126,6 +129,7 @@
     complete = response.body.complete
     buffered = BufferedResponse(response, data, complete)
     result = _classify_response(response, buffered, names)
+    result.rate_limit = _get_rate_limit(response, attempt.target, names)
     if not complete and result.buffered_response is not None:
         result.connection = connection
     return result
@@ -230,6 +234,20 @@
     )
 
 
+def _get_rate_limit(
+    response: upstream.Response, target: upstreams.Upstream, names: header_names.HeaderNames
+) -> float | None:
+    """Return the rate limit that the upstream names, ``None`` if it names none."""
+    value = message.join_header(response.headers, names.rate_limit)
+    if value is None:
+        return None
+    try:
+        return names.parse_rate_limit(value.decode("latin-1"))
+    except ValueError as error:
+        eventlog.event("upstream.limit.unreadable", upstream=target.id, error=error)
+        return None
+
+
 def _is_refusal(response: upstream.Response, names: header_names.HeaderNames) -> bool:
     """Whether the head says that the upstream did not run this request."""
     is_marked = message.get_header(response.headers, names.not_run) is not None
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -304,6 +304,7 @@
             stretched=slot.straggler.done(),
             seconds=report.seconds,
             slowdown=report.slowdown,
+            rate_limit=None if result is None else result.rate_limit,
             outcome=report.outcome.value,
             reason="abandoned" if result is None else result.reason,
         )
--- a/waxwingspool/proxy/message.py
+++ b/waxwingspool/proxy/message.py
@@ -8,6 +8,7 @@
     "end_to_end_headers",
     "format_head",
     "get_header",
+    "join_header",
     "status_line",
 ]
 
@@ -54,6 +55,16 @@
     return None
 
 
+def join_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return all values of a header as one list (RFC 9110, section 5.3), ``None`` if missing.
+
+    >>> join_header([(b"a", b"1"), (b"b", b"2"), (b"a", b"3")], b"a")
+    b'1, 3'
+    """
+    values = [value for key, value in headers if key == name]
+    return b", ".join(values) if values else None
+
+
 def connection_options(headers: Headers) -> set[bytes]:
     """Return the options of all ``Connection`` headers, in lower case.
 
