--- a/standins/deployment/checker.py
+++ b/standins/deployment/checker.py
@@ -1,15 +1,22 @@
 """Checks of the promises that can be verified from the upstreams' ledger after a run."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from standins.deployment import client, cluster, upstream
 
-__all__ = ["Violation", "check_ledger", "is_work_overdue"]
+__all__ = ["Violation", "check_ledger", "check_rate_limits", "is_work_overdue"]
 
 # Window in which retries are counted, in seconds, as specified by the users.
 RETRY_WINDOW_S = 10.0
 # Time after a caller has disconnected within which its work must end, in seconds.
 MAX_CANCEL_S = 0.5
+# Window in which requests for an upstream with a rate limit are counted, and time after a change of
+# the limit before which they are not, in seconds; as specified by the users.
+RATE_WINDOW_S = 4.0
+RATE_SETTLING_S = 4.0
+# Requests allowed in a window: a multiple of what the limit takes in that time, and some more.
+RATE_FACTOR = 1.5
+RATE_SLACK = 5
 
 # A violated promise and the details of the violation.
 Violation = tuple[str, str]
@@ -41,6 +48,38 @@
     return violations
 
 
+def check_rate_limits(
+    ledger: upstream.Ledger, is_excused: Callable[[str, float], bool] = lambda *_: False
+) -> list[Violation]:
+    """Check that upstreams get no more requests than the rate limits that they name.
+
+    Requests of all balancers and health checks are counted together, those that the upstream
+    rejects included.
+
+    :param is_excused: whether a request with an id may arrive at a time in spite of the limit,
+        because its balancer was restarted, paused or cut off.
+    """
+    violations = []
+    for id_, changes in ledger.rate_limits.items():
+        arrived_at = [
+            at
+            for at, upstream_id, _, request_id in ledger.arrivals
+            if upstream_id == id_ and not is_excused(request_id, at)
+        ]
+        arrived_at = sorted(arrived_at + ledger.probed_at[id_])
+        ends = [*(at for at, _ in changes[1:]), float("inf")]
+        for (start, rate), end in zip(changes, ends, strict=True):
+            if rate is None:
+                continue
+            counted = [at for at in arrived_at if start + RATE_SETTLING_S <= at < end]
+            most = max((_count_in(counted, at, RATE_WINDOW_S) for at in counted), default=0)
+            allowed = RATE_FACTOR * rate * RATE_WINDOW_S + RATE_SLACK
+            if most > allowed:
+                detail = f"{id_} {most} in {RATE_WINDOW_S:.0f} s, {rate:g} a second named"
+                violations.append(("rate limits", detail))
+    return violations
+
+
 def is_work_overdue(
     ledger: upstream.Ledger, request_id: str, disconnected_at: float, lag_s: float
 ) -> bool:
@@ -78,5 +117,10 @@
 
 
 def _count_in_window(times: list[float], start: float) -> int:
+    """Return the number of times in the window of retries that begins at ``start``."""
+    return _count_in(times, start, RETRY_WINDOW_S)
+
+
+def _count_in(times: list[float], start: float, window_s: float) -> int:
     """Return the number of times in the window that begins at ``start``."""
-    return sum(1 for at in times if start <= at < start + RETRY_WINDOW_S)
+    return sum(1 for at in times if start <= at < start + window_s)
--- a/standins/deployment/upstream.py
+++ b/standins/deployment/upstream.py
@@ -41,6 +41,9 @@
     :ivar responded: requests that got a complete and successful response.
     :ivar ended_at: time at which the last run ended, whether completed or cancelled.
     :ivar timeout_ms: timeout in the deadline header; -1 if there was none.
+    :ivar probed_at: times of the health checks, by upstream.
+    :ivar rate_limits: by upstream, the times at which its rate limit changed, with the new limit in
+        requests per second, ``None`` for none.
     """
 
     runs: collections.Counter = dataclasses.field(default_factory=collections.Counter)
@@ -50,6 +53,12 @@
     responded: set[str] = dataclasses.field(default_factory=set)
     ended_at: dict[str, float] = dataclasses.field(default_factory=dict)
     timeout_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    probed_at: dict[str, list[float]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    rate_limits: dict[str, list[tuple[float, float | None]]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
 
 
 class Upstream:
@@ -68,6 +77,7 @@
         self.fault: str | None = None
         self._ledger = ledger
         self._rng = rng
+        self._rate_limit: float | None = None
         self._running = 0
         self._waiting = 0
         self._slots = asyncio.Semaphore(SLOTS)
@@ -77,16 +87,31 @@
         """Listen on an address."""
         return await web.serve(ip, port, self._handle)
 
-    def _load_header(self) -> tuple[bytes, bytes]:
-        return b"x-server-load", b"%d,%d,%d,100" % (self._running, self._waiting, SLOTS)
+    def limit_rate(self, rate: float | None) -> None:
+        """Name a rate limit from now on.
+
+        :param rate: requests per second, ``None`` to name no limit any more.
+        """
+        self._rate_limit = rate
+        changes = self._ledger.rate_limits[self.id]
+        changes.append((asyncio.get_running_loop().time(), rate))
+
+    def _status_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that tell load and rate limit."""
+        load = b"%d,%d,%d,100" % (self._running, self._waiting, SLOTS)
+        headers = [(b"x-server-load", load)]
+        if self._rate_limit is not None:
+            headers.append((b"server-limit", b"%g" % self._rate_limit))
+        return headers
 
     async def _handle(
         self, request: caller.Request, data: bytes, connection: caller.Connection
     ) -> tuple[int, list, bytes]:
         if request.path == "/health":
-            return 200, [(b"x-instance-id", self.id.encode()), self._load_header()], b""
+            self._ledger.probed_at[self.id].append(asyncio.get_running_loop().time())
+            return 200, [(b"x-instance-id", self.id.encode()), *self._status_headers()], b""
         request_id = message.get_header(request.headers, b"x-request-id")
-        echo_headers = [(b"x-request-id", request_id), self._load_header()]
+        echo_headers = [(b"x-request-id", request_id), *self._status_headers()]
         if message.get_header(request.headers, b"x-expect-instance") != self.id.encode():
             return 421, echo_headers, b""
         now = asyncio.get_running_loop().time()
@@ -125,6 +150,8 @@
             self._ledger.ended_at[request_id] = loop.time()
         if connection.disconnected:
             return 0, [], b""
+        # A limit that has begun or ended during the work is named by the head sent now.
+        echo_headers = [echo_headers[0], *self._status_headers()]
         signed_headers = [*echo_headers, (b"x-server-signature", self.id.encode())]
         if self.fault == "endless" and self._rng.random() < FAULT_PROBABILITIES["endless"]:
             await self._send_without_end(signed_headers, connection)
