Keep the rate limits that upstreams name, in shares that balancers lend to dispatchers

Cause: slots were granted by concurrency alone. Nothing read the header in which an upstream names the rate that it takes, and nothing that the fleet shares counts a rate.

Change: responses and health checks tell the dispatcher of the limit, with the times between which the upstream wrote them, so that one that was overtaken neither ends nor revives it. Requests and health checks are paid for from a token bucket at the dispatcher. Every balancer owns an equal share of a limit and lends it with its requests for slots, to one dispatcher at a time and for 2 s: two dispatchers at once, local slots, failovers and restarts never spend more than the whole. What is left over goes to the other upstreams, or is refused at once.

--- a/standins/tests/test_rate_limits.py
+++ b/standins/tests/test_rate_limits.py
@@ -22,8 +22,6 @@
 
 
 class RateLimitTest(unittest.TestCase):
-    # Listed in KNOWN-RED.txt.
-    @unittest.expectedFailure
     def test_upstreams_get_no_more_requests_than_the_limits_that_they_name(self) -> None:
         deployment = cluster.Cluster(BALANCERS, UPSTREAMS, SUBNET, random.Random(SEED))
         asyncio.run(run_limited(deployment))
--- a/waxwingspool/dispatch/health.py
+++ b/waxwingspool/dispatch/health.py
@@ -7,6 +7,7 @@
 import enum
 
 from waxwingspool.catalog import upstreams
+from waxwingspool.dispatch import rates
 
 __all__ = ["Health", "InFlightRequest", "Outcome", "Report"]
 
@@ -71,11 +72,13 @@
 
     :ivar seconds: time from sending the request to receiving the head of the response.
     :ivar slowdown: slowdown that the upstream reported with the response, if any.
+    :ivar limit: what the response tells about the rate limit, ``None`` if it tells nothing.
     """
 
     outcome: Outcome
     seconds: float = 0.0
     slowdown: float | None = None
+    limit: rates.LimitReport | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/waxwingspool/dispatch/slots.py
+++ b/waxwingspool/dispatch/slots.py
@@ -3,18 +3,29 @@
 Load pattern: many small balancers in front of upstreams that slow down and then time out when
 their own queues fill. If each balancer chose independently, those queues would fill. A dispatcher
 therefore counts the requests of all balancers, grants slots up to the concurrency limit, keeps a
-short priority queue, and refuses the rest immediately.
+short priority queue, and refuses the rest immediately. Requests for an upstream that names a rate
+limit are paid for from an account besides.
 """
 
 import dataclasses
 import itertools
 import random
 from collections.abc import Iterable
+from typing import Protocol
 
 from waxwingspool.catalog import upstreams
-from waxwingspool.dispatch import health, limits
-
-__all__ = ["SlotRequest", "Decision", "Dispatcher", "Grant", "Refusal", "retry_after_s"]
+from waxwingspool.dispatch import health, limits, rates
+
+__all__ = [
+    "Decision",
+    "Dispatcher",
+    "Grant",
+    "RateShare",
+    "Refusal",
+    "SlotRequest",
+    "WholeRate",
+    "retry_after_s",
+]
 
 # Longest wait for a slot, as a fraction of the latency objective; a longer wait leaves too little
 # of the objective for the work itself.
@@ -38,6 +49,8 @@
 LENDING_RESERVE = 0.25
 # Fraction of slots that must stay free when a hedge gets one, because a hedge only saves time.
 HEDGE_RESERVE = 0.3
+# Fraction of an upstream's rate limit that health checks may use.
+PROBE_RATE_SHARE = 0.1
 # Cost of sending a request to another data centre, in seconds per request and per byte; the
 # operator pays for this traffic by the byte.
 CROSS_DATA_CENTRE_S = 0.004
@@ -138,17 +151,52 @@
     return max(MIN_RETRY_AFTER_S, RETRY_AFTER_SHARE * objective_s)
 
 
+class RateShare(Protocol):
+    """The part of the upstreams' rate limits that a dispatcher may spend."""
+
+    def value(self, upstream: upstreams.Upstream, now: float) -> float:
+        """Return the part of an upstream's rate limit, between 0 and 1."""
+
+    def since(self, now: float) -> float:
+        """Return the monotonic time in seconds since which the dispatcher has had a part."""
+
+
+class WholeRate:
+    """The whole of each rate limit, for a dispatcher that shares upstreams with no other one."""
+
+    def value(self, upstream: upstreams.Upstream, now: float) -> float:
+        return 1.0
+
+    def since(self, now: float) -> float:
+        return float("-inf")
+
+
 class Dispatcher:
     """Grants the slots of the upstreams of one service.
 
     :param rng: source of the jitter of Retry-After.
     :param share: fraction of the upstreams' concurrency that this dispatcher may use; less than one
         where several dispatchers work independently.
+    :param rate_limits: rate limits of the upstreams, none if missing.
+    :param rate_share: part of the rate limits that this dispatcher may spend.
     """
 
-    def __init__(self, rng: random.Random, share: float = 1.0) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        share: float = 1.0,
+        rate_limits: rates.RateLimits | None = None,
+        rate_share: RateShare | None = None,
+    ) -> None:
         self._rng = rng
         self._share = share
+        self._rate_limits = rate_limits or rates.RateLimits()
+        self._rate_share = rate_share or WholeRate()
+        self._accounts: dict[str, rates.RateAccount] = {}
+        # Slots that were paid for from an account, by holder and key.
+        self._paid: set[tuple[str, int]] = set()
+        self._paid_count = 0
+        self._limited_refusals = 0
         self._limit = limits.ConcurrencyLimit()
         self._upstreams: dict[str, health.Health] = {}
         self._slots: dict[tuple[str, int], tuple[str, float]] = {}
@@ -177,15 +225,42 @@
         """Number of slots granted and not yet released."""
         return len(self._slots)
 
+    @property
+    def paid_count(self) -> int:
+        """Number of requests and health checks granted for upstreams with rate limits."""
+        return self._paid_count
+
+    @property
+    def limited_refusals(self) -> int:
+        """Number of requests refused because all upstreams were at their rate limits."""
+        return self._limited_refusals
+
     @property
     def upstream_health(self) -> dict[str, health.Health]:
         """Health of the upstreams by id."""
         return self._upstreams
 
-    def capacity(self, now: float) -> int:
-        """Return the sum of the concurrency limits of the healthy upstreams."""
+    def capacity(self, now: float) -> float:
+        """Return the number of requests that the healthy upstreams can have at the same time.
+
+        It is limited by their concurrency limits, and by their rate limits times the time that a
+        request takes.
+        """
         healthy = (h for h in self._upstreams.values() if not self.is_avoided(h, now))
-        return sum(self._limit_of(h) for h in healthy)
+        return sum(self._capacity_of(h, now) for h in healthy)
+
+    def limited_upstreams(self) -> list[upstreams.Upstream]:
+        """Return the upstreams that have a rate limit."""
+        known = (upstream.upstream for upstream in self._upstreams.values())
+        return [upstream for upstream in known if self._rate_limits.rate(upstream) is not None]
+
+    def own_rate(self, upstream: upstreams.Upstream, now: float) -> float | None:
+        """Return the requests per second that this dispatcher may send to an upstream.
+
+        :returns: its part of the rate limit, ``None`` if the upstream has no limit.
+        """
+        rate = self._rate_limits.rate(upstream)
+        return None if rate is None else rate * self._rate_share.value(upstream, now)
 
     @property
     def mean_probe_slowdown(self) -> float:
@@ -216,6 +291,7 @@
         for id_ in list(self._upstreams):
             if id_ not in listed:
                 del self._upstreams[id_]
+                self._accounts.pop(id_, None)
         for upstream in listed.values():
             self._update_upstream(upstream)
 
@@ -239,7 +315,12 @@
         max_wait_s = self._max_wait_s(request, now)
         if not self._upstreams:
             return self.refuse(request, "no upstream is known")
-        if self._expected_wait_s(request, now) > max_wait_s:
+        if self._all_limited(request, now):
+            wait_s = self._expected_token_wait_s(request, now)
+            if wait_s > max_wait_s:
+                self._limited_refusals += 1
+                return self.refuse(request, "all upstreams are at their rate limits", wait_s)
+        elif self._expected_wait_s(request, now) > max_wait_s:
             return self.refuse(request, "the queue is longer than the request can wait")
         order = (request.priority, next(self._sequence))
         self._queue.append(_QueuedRequest(order, request, now + max_wait_s))
@@ -256,6 +337,10 @@
         if slot is None:
             self._remove_queued(holder, key)
             return
+        if (holder, key) in self._paid:
+            self._paid.remove((holder, key))
+            if report.outcome is health.Outcome.UNUSED and slot[0] in self._accounts:
+                self._accounts[slot[0]].refund()
         upstream = self._upstreams.get(slot[0])
         if upstream is None:
             return
@@ -300,6 +385,24 @@
         found, self._stragglers = self._stragglers, []
         return found
 
+    def may_probe(self, upstream: str, now: float) -> bool:
+        """Return whether a health check may be sent to an upstream, and pay for it.
+
+        Health checks reach an upstream like requests, so they count against its rate limit.
+        """
+        known = self._upstreams.get(upstream)
+        if known is None:
+            return False
+        own_rate = self.own_rate(known.upstream, now)
+        if own_rate is None:
+            return True
+        if own_rate <= 0:
+            return False
+        interval_s = 1 / (PROBE_RATE_SHARE * own_rate)
+        paid = self._refilled_account(known, now).pay_for_probe(interval_s, now)
+        self._paid_count += paid
+        return paid
+
     def record_failed_probe(self, upstream: str) -> None:
         """Record that an upstream did not answer a probe."""
         known = self._upstreams.get(upstream)
@@ -362,6 +465,10 @@
         )
         self._limit.record_grant()
         self._occupy_slot(request, id_, now)
+        if self._rate_limits.rate(best.upstream) is not None:
+            self._accounts[id_].pay()
+            self._paid_count += 1
+            self._paid.add((request.holder, request.key))
         return Grant(request, id_, best.expected_s(now, self._mean_s))
 
     def _cost(self, request: SlotRequest, upstream: health.Health, now: float) -> float:
@@ -389,7 +496,9 @@
         free = [
             item
             for item in allowed
-            if self._has_free_slot(item[1], may_explore, now) and not item[1].full(now)
+            if self._has_free_slot(item[1], may_explore, now)
+            and not item[1].full(now)
+            and self._has_rate_left(item[1], request.hedge, now)
         ]
         healthy = [item for item in free if not self.is_avoided(item[1], now)]
         if not healthy:
@@ -403,9 +512,14 @@
         return [] if self._any_uncontended(now, request.excluded) else healthy
 
     def _any_uncontended(self, now: float, excluded: tuple[str, ...] = ()) -> bool:
-        """Whether any healthy upstream is uncontended, with or without a free slot."""
+        """Whether any healthy upstream is uncontended, with or without a free slot.
+
+        Upstreams at their rate limits don't count, because no slot of theirs comes free soon.
+        """
         return any(
-            not upstream.contended(now) and not self.is_avoided(upstream, now)
+            not upstream.contended(now)
+            and not self.is_avoided(upstream, now)
+            and self._has_rate_left(upstream, False, now)
             for id_, upstream in self._upstreams.items()
             if id_ not in excluded
         )
@@ -424,6 +538,58 @@
     def _limit_of(self, upstream: health.Health) -> int:
         return max(1, int(self._limit.value(upstream.upstream.slots) * self._share))
 
+    def _capacity_of(self, upstream: health.Health, now: float) -> float:
+        own_rate = self.own_rate(upstream.upstream, now)
+        limit = self._limit_of(upstream)
+        return limit if own_rate is None else min(limit, own_rate * self._mean_elapsed_s)
+
+    # Rate limits
+
+    def _has_rate_left(self, upstream: health.Health, hedge: bool, now: float) -> bool:
+        """Whether the rate limit of an upstream leaves room for one more request.
+
+        A hedge never gets any, because it only saves time.
+        """
+        if self._rate_limits.rate(upstream.upstream) is None:
+            self._accounts.pop(upstream.upstream.id, None)
+            return True
+        return not hedge and self._refilled_account(upstream, now).available
+
+    def _refilled_account(self, upstream: health.Health, now: float) -> rates.RateAccount:
+        """Return the account of an upstream that has a rate limit."""
+        target = upstream.upstream
+        account = self._accounts.get(target.id)
+        if account is None:
+            account = self._accounts[target.id] = rates.RateAccount(self._rng, now)
+        share = self._rate_share.value(target, now)
+        account.refill(self._rate_limits.rate(target), share, now, self._rate_share.since(now))
+        return account
+
+    def _all_limited(self, request: SlotRequest, now: float) -> bool:
+        """Whether all healthy upstreams that a request may be sent to have rate limits."""
+        usable = self._usable(request, now)
+        return bool(usable) and all(self._rate_limits.rate(u.upstream) is not None for u in usable)
+
+    def _usable(self, request: SlotRequest, now: float) -> list[health.Health]:
+        """Return the healthy upstreams that a request may be sent to."""
+        return [
+            upstream
+            for id_, upstream in self._upstreams.items()
+            if id_ not in request.excluded and not self.is_avoided(upstream, now)
+        ]
+
+    def _expected_token_wait_s(self, request: SlotRequest, now: float) -> float:
+        """Return the time in seconds until the rate limits leave room for a request.
+
+        Those that are ahead of it in the queue go first.
+        """
+        own_rate, first_s = 0.0, float("inf")
+        for upstream in self._usable(request, now):
+            rate = self.own_rate(upstream.upstream, now)
+            own_rate += rate
+            first_s = min(first_s, self._refilled_account(upstream, now).wait_s(rate))
+        return first_s + self._count_ahead(request) / own_rate if own_rate else float("inf")
+
     # Queue
 
     def _count_ahead(self, request: SlotRequest) -> int:
@@ -444,10 +610,13 @@
             return float("inf")
         return (self._count_ahead(request) + 1) * self.expected_s() / capacity
 
-    def refuse(self, request: SlotRequest, reason: str) -> Refusal:
-        """Return a refusal with a jittered Retry-After."""
+    def refuse(self, request: SlotRequest, reason: str, wait_s: float = 0.0) -> Refusal:
+        """Return a refusal with a jittered Retry-After.
+
+        :param wait_s: time in seconds before which a retry would be refused again.
+        """
         jitter = 1 + RETRY_AFTER_JITTER * (2 * self._rng.random() - 1)
-        delay_s = retry_after_s(request.objective_s) * jitter
+        delay_s = max(wait_s, retry_after_s(request.objective_s)) * jitter
         return Refusal(request, min(delay_s, MAX_RETRY_AFTER_SHARE * request.remaining_s), reason)
 
     def _remove_queued(self, holder: str, key: int) -> None:
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -208,6 +208,7 @@
             self._handle_slot_frame(peer_link, frame)
         elif isinstance(frame, frames.Leaving):
             self._links.suspect(peer_link.peer, "it is stopping")
+            self._slot_manager.handle_leaving(peer_link.peer)
         else:
             self._tables.receive(peer_link, frame)
 
@@ -225,6 +226,8 @@
                 self._slot_manager.receive_held_slot(peer_link, frame)
             case frames.Straggler():
                 self._slot_manager.receive_straggler(frame)
+            case frames.RateLimit():
+                self._slot_manager.receive_rate_limit(peer_link, frame)
 
     def _handle_disconnect(self, peer_link: link.Link) -> None:
         self._slot_manager.handle_lost_link(peer_link)
--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -20,6 +20,7 @@
     "HeldSlot",
     "Hello",
     "Leaving",
+    "RateLimit",
     "Refused",
     "Release",
     "Rows",
@@ -53,7 +54,11 @@
 
 
 class SlotRequest(msgspec.Struct, array_like=True, tag=2):
-    """A request for a slot; see :class:`waxwingspool.dispatch.slots.SlotRequest`."""
+    """A request for a slot; see :class:`waxwingspool.dispatch.slots.SlotRequest`.
+
+    :ivar lends_share: whether the sender lends its share of the rate limits of the service's
+        upstreams; see :mod:`waxwingspool.dispatch.shares`.
+    """
 
     service: str
     key: int
@@ -65,17 +70,21 @@
     excluded: tuple[str, ...]
     borrowed: bool
     hedge: bool
+    lends_share: bool = False
 
 
 class Granted(msgspec.Struct, array_like=True, tag=3):
     """Grants a slot at an upstream to the slot request with this key.
 
     :ivar expected_s: expected response time in seconds.
+    :ivar limited: whether the upstream has a rate limit, so that the sender wants to be told what
+        the response says about it.
     """
 
     key: int
     upstream: str
     expected_s: float
+    limited: bool = False
 
 
 class Refused(msgspec.Struct, array_like=True, tag=4):
@@ -168,6 +177,27 @@
     key: int
 
 
+class RateLimit(msgspec.Struct, array_like=True, tag=13):
+    """Tells what a response of an upstream says about its rate limit.
+
+    See :class:`waxwingspool.dispatch.rates.LimitReport`.
+
+    :ivar started_ms: start of the incarnation of the upstream.
+    :ivar told_at: the sender's monotonic time in seconds.
+    :ivar sent_ago_s: time in seconds from the sending of the request to ``told_at``.
+    :ivar received_ago_s: time in seconds from the head of the response to ``told_at``.
+    """
+
+    upstream: str
+    started_ms: int
+    rate: float | None
+    told_at: float
+    sent_ago_s: float
+    received_ago_s: float
+    request_id: str
+    probe: bool
+
+
 Frame = (
     Hello
     | Leaving
@@ -182,10 +212,11 @@
     | Unsubscribe
     | ListingRequest
     | Straggler
+    | RateLimit
 )
 
 # Frames between a dispatcher and the balancers that request slots from it.
-SLOT_FRAMES = (SlotRequest, Granted, Refused, Release, HeldSlot, Straggler)
+SLOT_FRAMES = (SlotRequest, Granted, Refused, Release, HeldSlot, Straggler, RateLimit)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
--- a/waxwingspool/fleet/link.py
+++ b/waxwingspool/fleet/link.py
@@ -145,6 +145,11 @@
         self._connecting: dict[str, asyncio.Task] = {}
         self._backoff_until: dict[str, float] = {}
         self._backoff_s: dict[str, float] = {}
+        self._refusing: set[str] = set()
+
+    def refuses(self, peer: str) -> bool:
+        """Whether the last connection was refused, because no process of the peer runs."""
+        return peer in self._refusing
 
     def available(self, peer: str) -> bool:
         """Whether a peer may be used, that is, is not in its backoff period."""
@@ -210,8 +215,11 @@
                     local_addr=(self._settings.ip, 0),
                 )
         except (OSError, TimeoutError) as error:
+            if isinstance(error, ConnectionRefusedError):
+                self._refusing.add(peer)
             self.suspect(peer, f"connection failed: {type(error).__name__}")
             return None
+        self._refusing.discard(peer)
         peer_link.send(frames.Hello(self._settings.ip))
         self._links[peer] = peer_link
         eventlog.event("peer.connected", peer=peer)
--- a/waxwingspool/fleet/members.py
+++ b/waxwingspool/fleet/members.py
@@ -83,6 +83,10 @@
         """Number of known balancers, including this one."""
         return len(self._members)
 
+    def addresses(self) -> list[str]:
+        """Return the addresses of all known balancers."""
+        return list(self._members)
+
     def in_region(self, region: str) -> list[str]:
         """Return the addresses of the balancers in a region."""
         return [ip for ip, member in self._members.items() if member.region == region]
--- a/waxwingspool/fleet/probes.py
+++ b/waxwingspool/fleet/probes.py
@@ -12,7 +12,7 @@
 from waxwingspool.catalog import upstreams
 from waxwingspool.fleet import slots
 from waxwingspool.observe import counters
-from waxwingspool.proxy import header_names, message, upstream
+from waxwingspool.proxy import header_names, limit_header, message, upstream
 
 __all__ = ["Prober"]
 
@@ -84,6 +84,9 @@
         connection = None
         try:
             while path is not None:
+                if not self._slot_manager.may_probe(target):
+                    await asyncio.sleep(INTERVAL_S)
+                    continue
                 try:
                     async with asyncio.timeout(TIMEOUT_S):
                         if connection is None or not connection.usable:
@@ -115,12 +118,22 @@
     ) -> header_names.Load | None:
         host = f"{target.address[0]}:{target.address[1]}".encode()
         head = message.format_head(b"GET " + path.encode() + b" HTTP/1.1", [(b"host", host)])
+        sent_at = asyncio.get_running_loop().time()
         connection.send_head(head, None)
         response = await connection.read_response()
+        received_at = asyncio.get_running_loop().time()
         await response.body.wait_for_data(upstream.UNLIMITED_BYTES)
         response.body.read_available()
         if response.body.failed:
             raise upstream.Broken(upstream.ExchangeFailure.TRUNCATED, "response to a probe")
         connection.finish()
+        instance = message.get_header(response.headers, self._header_names.instance)
+        if response.status == 200 and instance == target.id.encode():
+            times = (sent_at, received_at)
+            limit = limit_header.read_limit(
+                response.headers, self._header_names, target.id, times, probe=True
+            )
+            if limit is not None:
+                self._slot_manager.record_probed_limit(target, limit)
         value = message.get_header(response.headers, self._header_names.load)
         return None if value is None else self._header_names.parse_load(value.decode("latin-1"))
--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -15,8 +15,8 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node, upstreams
-from waxwingspool.dispatch import election, health, slots
-from waxwingspool.fleet import frames, link, members
+from waxwingspool.dispatch import election, health, rates, slots
+from waxwingspool.fleet import frames, link, members, rate_limits
 from waxwingspool.observe import eventlog
 
 __all__ = ["Refused", "Slot", "SlotManager"]
@@ -25,6 +25,8 @@
 REPLY_MARGIN_S = 0.2
 # Interval at which waiting requests are checked if no other event causes a check, in seconds.
 POLL_INTERVAL_S = 0.02
+# Interval at which changes of rate limits are passed on, in seconds.
+LIMIT_BROADCAST_INTERVAL_S = 0.2
 # Interval at which the state of a dispatcher is logged, in seconds.
 STATE_LOG_INTERVAL_S = 1.0
 # Concurrency that all balancers of a region may use together without a dispatcher, as a multiple of
@@ -44,6 +46,7 @@
     :ivar expected_s: expected response time in seconds.
     :ivar dispatcher: address of the balancer that counts the slot; this balancer for a local slot.
     :ivar local: whether the slot comes from this balancer's own share.
+    :ivar limited: whether the dispatcher knows of a rate limit of the upstream.
     :ivar straggler: done once the request is found to be a straggler, which takes much longer than
         expected.
     """
@@ -55,6 +58,7 @@
     dispatcher: str
     request: frames.SlotRequest
     local: bool = False
+    limited: bool = False
     straggler: asyncio.Future = dataclasses.field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -97,6 +101,9 @@
         self._held: dict[int, Slot] = {}
         # Dispatchers' addresses and services for which the held slots have been reported.
         self._reported: set[tuple[str, str]] = set()
+        self._limits = rate_limits.SharedLimits(settings, membership)
+        # Addresses of peers and services for which they have been told the rate limits.
+        self._told: set[tuple[str, str]] = set()
         self._leaving = False
 
     # State of the upstreams
@@ -107,6 +114,7 @@
         self._by_service = {}
         for upstream in upstream_list:
             self._by_service.setdefault(upstream.service, []).append(upstream)
+        self._limits.update_upstreams(upstream_list)
         for service, dispatcher in (*self._regional.items(), *self._local.items()):
             dispatcher.update(self._region_upstreams(service))
         self._decide_all_waiting()
@@ -122,6 +130,16 @@
         found = {h.upstream.id: h.upstream for d in active for h in d.upstream_health.values()}
         return list(found.values())
 
+    def may_probe(self, target: upstreams.Upstream) -> bool:
+        """Return whether a probe may be sent now; it counts against a rate limit."""
+        now = time.monotonic()
+        found = self._dispatchers_for(target.service)
+        return any(dispatcher.may_probe(target.id, now) for dispatcher in found)
+
+    def record_probed_limit(self, target: upstreams.Upstream, report: rates.LimitReport) -> None:
+        """Record what the response to a probe tells about a rate limit."""
+        self._limits.record(target, report, "probe")
+
     def record_probe(self, target: upstreams.Upstream, load: int, slowdown: float | None) -> None:
         """Record the result of a probe.
 
@@ -191,6 +209,8 @@
         """Release a slot and report the outcome of its request."""
         if self._held.pop(slot.key, None) is None:
             return
+        if report.limit is not None:
+            self._record_limit(slot, report.limit)
         now = time.monotonic()
         if slot.local:
             self._local_dispatcher(slot.service).release(self._settings.ip, slot.key, report, now)
@@ -204,6 +224,15 @@
             if peer_link is not None:
                 peer_link.send(_release_frame(slot.service, slot.key, report))
 
+    def _record_limit(self, slot: Slot, report: rates.LimitReport) -> None:
+        """Record what a response tells about a rate limit, and tell the dispatcher."""
+        known = slot.limited or self._limits.limits.rate(slot.upstream) is not None
+        self._limits.record(slot.upstream, report, "response")
+        peer_link = self._links.get(slot.dispatcher)
+        is_remote = not slot.local and slot.dispatcher != self._settings.ip
+        if is_remote and peer_link is not None and (known or report.rate is not None):
+            peer_link.send(self._limits.frame(slot.upstream, report))
+
     async def _request_from_region(
         self, request: frames.SlotRequest, region: str
     ) -> Slot | Refused:
@@ -219,6 +248,8 @@
             async with asyncio.timeout(self._max_reply_wait_s(request) + REPLY_MARGIN_S):
                 peer_link = await self._links.get_or_connect(peer)
                 self._report_held_slots(peer_link, request.service, region)
+                if region == self._settings.region:
+                    request.lends_share = self._limits.lend(request.service, peer)
                 peer_link.send(request)
                 reply = await future
         except (TimeoutError, exceptions.PeerUnavailable) as error:
@@ -238,6 +269,8 @@
         if isinstance(error, TimeoutError):
             self._cancel_slot_request(request, peer)
             self._links.suspect(peer, f"no reply about a slot of {request.service}")
+        elif self._links.refuses(peer):
+            self._limits.end_loans(peer)
         if region != self._settings.region:
             return Refused(0.0, "the other region's dispatcher did not answer")
         return self._request_locally(request)
@@ -252,13 +285,22 @@
         if upstream is None:
             self._cancel_slot_request(request, peer)
             return self._request_locally(request)
-        slot = Slot(request.key, request.service, upstream, reply.expected_s, peer, request)
+        slot = Slot(
+            request.key,
+            request.service,
+            upstream,
+            reply.expected_s,
+            peer,
+            request,
+            limited=reply.limited,
+        )
         self._held[request.key] = slot
         return slot
 
     async def _request_in_process(self, request: frames.SlotRequest) -> Slot | Refused:
         """Request a slot from the regional dispatcher that runs in this process."""
         dispatcher = self._regional_dispatcher(request.service)
+        self._lend_to_self(request.service)
         decision = dispatcher.submit(
             _slot_request_from_frame(request, self._settings.ip), time.monotonic()
         )
@@ -346,6 +388,7 @@
 
     def _report_held_slots(self, peer_link: link.Link, service: str, region: str) -> None:
         """Report the slots that this balancer holds to a dispatcher that does not know of them."""
+        self._tell_limits(peer_link, service)
         if (peer_link.peer, service) in self._reported or region != self._settings.region:
             return
         self._reported.add((peer_link.peer, service))
@@ -356,17 +399,49 @@
                 slot.dispatcher = peer_link.peer
                 slot.local = False
 
+    # Rate limits
+
+    def _tell_limits(self, peer_link: link.Link, service: str) -> None:
+        """Tell a peer the known rate limits of a service, unless it has been told."""
+        if (peer_link.peer, service) not in self._told:
+            self._told.add((peer_link.peer, service))
+            for frame in self._limits.known_frames(service):
+                peer_link.send(frame)
+
+    def _lend_to_self(self, service: str) -> None:
+        """Lend this balancer's share of the rate limits to the dispatcher in this process."""
+        if not self._leaving and self._limits.lend(service, self._settings.ip):
+            self._limits.record_loan(service, self._settings.ip)
+
+    def receive_rate_limit(self, peer_link: link.Link, frame: frames.RateLimit) -> None:
+        """Record what a peer tells about the rate limit of an upstream."""
+        self._limits.receive(peer_link, frame)
+
+    def handle_leaving(self, peer: str) -> None:
+        """Take back the share that was lent to a dispatcher that grants nothing any more."""
+        self._limits.end_loans(peer)
+
+    def _broadcast_limits(self) -> None:
+        """Tell the balancers that request slots from this one which rate limits have changed."""
+        for frame in self._limits.take_changes():
+            for peer_link in self._requester_links.values():
+                peer_link.send(frame)
+
     # Granting slots
 
     def receive_slot_request(self, peer_link: link.Link, request: frames.SlotRequest) -> None:
         """Handle a peer's request for a slot."""
         self._requester_links[peer_link.peer] = peer_link
+        self._tell_limits(peer_link, request.service)
+        if request.lends_share:
+            self._limits.record_loan(request.service, peer_link.peer)
+        self._lend_to_self(request.service)
         dispatcher = self._regional_dispatcher(request.service)
         decision = dispatcher.submit(
             _slot_request_from_frame(request, peer_link.peer), time.monotonic()
         )
         if decision is not None:
-            peer_link.send(_reply_frame(decision))
+            peer_link.send(self._reply_frame(decision))
 
     def receive_held_slot(self, peer_link: link.Link, held: frames.HeldSlot) -> None:
         """Count a slot that a peer got from a previous dispatcher."""
@@ -410,25 +485,31 @@
     def stop_granting(self) -> None:
         """Stop granting slots, because this balancer is shutting down."""
         self._leaving = True
+        self._limits.stop_spending()
         for peer_link in self._requester_links.values():
             peer_link.send(frames.Leaving())
 
     def handle_lost_link(self, peer_link: link.Link) -> None:
         """Release the slots of a peer whose link has closed, and clear what was reported to it."""
         self._reported = {pair for pair in self._reported if pair[0] != peer_link.peer}
+        self._told = {pair for pair in self._told if pair[0] != peer_link.peer}
         if self._requester_links.get(peer_link.peer) is peer_link:
             del self._requester_links[peer_link.peer]
+            self._limits.remove_owner(peer_link.peer)
             for dispatcher in self._regional.values():
                 dispatcher.remove_holder(peer_link.peer, time.monotonic())
             self._decide_all_waiting()
 
     async def run(self) -> None:
         """Decide on waiting requests, expire slots and log the state until cancelled."""
-        logged_at = time.monotonic()
+        logged_at = broadcast_at = time.monotonic()
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             for service in self._regional:
                 self._poll(service)
+            if time.monotonic() - broadcast_at > LIMIT_BROADCAST_INTERVAL_S:
+                broadcast_at = time.monotonic()
+                self._broadcast_limits()
             if time.monotonic() - logged_at > STATE_LOG_INTERVAL_S:
                 logged_at = time.monotonic()
                 self._log_state(logged_at)
@@ -439,6 +520,7 @@
             if not dispatcher.in_flight and not dispatcher.waiting:
                 continue
             upstream_health = dispatcher.upstream_health.values()
+            limited = dispatcher.limited_upstreams()
             eventlog.event(
                 "dispatcher.state",
                 service=service,
@@ -450,6 +532,10 @@
                 limit_of_four=dispatcher.limit(4),
                 mean_s=dispatcher.mean_s,
                 usual_slowdown=dispatcher.mean_probe_slowdown,
+                limited=",".join(upstream.id for upstream in limited) or None,
+                limited_rate=sum(dispatcher.own_rate(upstream, now) for upstream in limited),
+                limited_sent=dispatcher.paid_count,
+                limited_refused=dispatcher.limited_refusals,
             )
 
     def _decide_all_waiting(self) -> None:
@@ -475,12 +561,24 @@
             return
         peer_link = self._requester_links.get(holder)
         if peer_link is not None:
-            peer_link.send(_reply_frame(decision))
+            peer_link.send(self._reply_frame(decision))
+
+    def _reply_frame(self, decision: slots.Decision) -> frames.Granted | frames.Refused:
+        key = decision.request.key
+        if isinstance(decision, slots.Refusal):
+            return frames.Refused(key, round(decision.retry_after_s, 3), decision.reason)
+        upstream = self._upstreams.get(decision.upstream)
+        limited = upstream is not None and self._limits.limits.rate(upstream) is not None
+        return frames.Granted(key, decision.upstream, round(decision.expected_s, 4), limited)
 
     def _regional_dispatcher(self, service: str) -> slots.Dispatcher:
         dispatcher = self._regional.get(service)
         if dispatcher is None:
-            dispatcher = self._regional[service] = slots.Dispatcher(self._rng)
+            dispatcher = self._regional[service] = slots.Dispatcher(
+                self._rng,
+                rate_limits=self._limits.limits,
+                rate_share=self._limits.regional_share(service),
+            )
             dispatcher.update(self._region_upstreams(service))
         return dispatcher
 
@@ -488,7 +586,11 @@
         """Return the dispatcher of this balancer's own share of a service's upstreams."""
         dispatcher = self._local.get(service)
         if dispatcher is None:
-            dispatcher = self._local[service] = slots.Dispatcher(self._rng)
+            dispatcher = self._local[service] = slots.Dispatcher(
+                self._rng,
+                rate_limits=self._limits.limits,
+                rate_share=self._limits.local_share(service),
+            )
             dispatcher.update(self._region_upstreams(service))
         balancers = len(self._members.in_region(self._settings.region))
         dispatcher.set_share(min(1.0, LOCAL_OVERCOMMIT_FACTOR / max(1, balancers)))
@@ -517,13 +619,6 @@
     )
 
 
-def _reply_frame(decision: slots.Decision) -> frames.Granted | frames.Refused:
-    key = decision.request.key
-    if isinstance(decision, slots.Grant):
-        return frames.Granted(key, decision.upstream, round(decision.expected_s, 4))
-    return frames.Refused(key, round(decision.retry_after_s, 3), decision.reason)
-
-
 def _release_frame(service: str, key: int, report: health.Report) -> frames.Release:
     return frames.Release(
         service, key, report.outcome.value, round(report.seconds, 4), report.slowdown
--- a/waxwingspool/fleet/tests/test_slots.py
+++ b/waxwingspool/fleet/tests/test_slots.py
@@ -6,7 +6,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import upstreams
-from waxwingspool.dispatch import election
+from waxwingspool.dispatch import election, health
 from waxwingspool.dispatch import slots as dispatch_slots
 from waxwingspool.fleet import frames, members, slots
 from waxwingspool.fleet.tests import test_tables
@@ -39,7 +39,8 @@
         self.assertTrue(slot.local)
 
     async def test_contended_upstream_is_used_if_there_is_no_other(self) -> None:
-        self.slot_manager.release(await self.acquire(), mock.Mock(outcome="unused", slowdown=None))
+        unused = health.Report(health.Outcome.UNUSED)
+        self.slot_manager.release(await self.acquire(), unused)
         self.slot_manager.record_probe(self.upstream, 0, CONTENTION_SLOWDOWN)
         self.assertIsInstance(await self.acquire(), slots.Slot)
 
--- a/waxwingspool/observe/counters.py
+++ b/waxwingspool/observe/counters.py
@@ -8,7 +8,15 @@
 import collections
 from collections.abc import Iterable
 
-__all__ = ["count", "gauge", "record_attempt", "record_request", "record_response", "render"]
+__all__ = [
+    "count",
+    "gauge",
+    "record_attempt",
+    "record_request",
+    "record_response",
+    "remove_gauge",
+    "render",
+]
 
 # Upper bounds of the histogram buckets, in seconds, from a fast response to the longest timeout.
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
@@ -31,6 +39,11 @@
     _gauges[name, tuple(labels.items())] = value
 
 
+def remove_gauge(name: str, **labels: str) -> None:
+    """Remove a gauge that has no value any more."""
+    _gauges.pop((name, tuple(labels.items())), None)
+
+
 def observe(name: str, seconds: float, **labels: str) -> None:
     """Record a duration in seconds in a histogram."""
     key = (name, tuple(labels.items()))
--- a/waxwingspool/platform/headers.py
+++ b/waxwingspool/platform/headers.py
@@ -74,6 +74,7 @@
     not_run=b"x-not-executed",
     load=b"x-server-load",
     parse_load=parse_load,
+    instance=b"x-instance-id",
     # Requests per second that the upstream takes from all balancers together.
     rate_limit=b"server-limit",
     parse_rate_limit=parse_rate_limit,
--- a/waxwingspool/proxy/exchange.py
+++ b/waxwingspool/proxy/exchange.py
@@ -4,9 +4,8 @@
 import dataclasses
 
 from waxwingspool.catalog import upstreams
-from waxwingspool.dispatch import health
-from waxwingspool.observe import eventlog
-from waxwingspool.proxy import caller, header_names, message, pool, upstream
+from waxwingspool.dispatch import health, rates
+from waxwingspool.proxy import caller, header_names, limit_header, message, pool, upstream
 
 __all__ = ["Attempt", "BufferedResponse", "Result", "send"]
 
@@ -41,7 +40,7 @@
     :ivar reason: text for the log, and for the caller if no response is forwarded.
     :ivar seconds: duration of the exchange without the time to connect.
     :ivar slowdown: slowdown from the load that the upstream reports, ``None`` if not reported.
-    :ivar rate_limit: requests per second that the upstream takes, ``None`` if it names no limit.
+    :ivar limit: what the response tells about the rate limit, ``None`` if it tells nothing.
     :ivar buffered_response: the response, ``None`` if there is none that can be forwarded.
     :ivar connection: the connection that the rest of a streamed response arrives on.
     """
@@ -51,13 +50,13 @@
     reason: str
     seconds: float = 0.0
     slowdown: float | None = None
-    rate_limit: float | None = None
+    limit: rates.LimitReport | None = None
     buffered_response: BufferedResponse | None = None
     connection: upstream.Connection | None = None
 
     def report(self) -> health.Report:
         """Return the report for the dispatcher of the slot."""
-        return health.Report(self.outcome, self.seconds, self.slowdown)
+        return health.Report(self.outcome, self.seconds, self.slowdown, self.limit)
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,10 +110,13 @@
     """Send the request, and read the response head and the part of the body to buffer."""
     request = attempt.request
     request_id = message.get_header(request.headers, names.request_id)
+    loop = asyncio.get_running_loop()
+    sent_at = loop.time()
     connection.send_head(_format_request_head(attempt, names), request_id)
     upload = await _send_body(attempt, connection)
     try:
         response = await connection.read_response()
+        received_at = loop.time()
     finally:
         if upload is not None:
             upload.cancel()
@@ -129,7 +131,7 @@
     complete = response.body.complete
     buffered = BufferedResponse(response, data, complete)
     result = _classify_response(response, buffered, names)
-    result.rate_limit = _get_rate_limit(response, attempt.target, names)
+    result.limit = _read_limit(response, attempt, names, (sent_at, received_at))
     if not complete and result.buffered_response is not None:
         result.connection = connection
     return result
@@ -234,18 +236,26 @@
     )
 
 
-def _get_rate_limit(
-    response: upstream.Response, target: upstreams.Upstream, names: header_names.HeaderNames
-) -> float | None:
-    """Return the rate limit that the upstream names, ``None`` if it names none."""
-    value = message.join_header(response.headers, names.rate_limit)
-    if value is None:
-        return None
-    try:
-        return names.parse_rate_limit(value.decode("latin-1"))
-    except ValueError as error:
-        eventlog.event("upstream.limit.unreadable", upstream=target.id, error=error)
+def _read_limit(
+    response: upstream.Response,
+    attempt: Attempt,
+    names: header_names.HeaderNames,
+    times: tuple[float, float],
+) -> rates.LimitReport | None:
+    """Return what a response tells about the rate limit of its upstream, ``None`` if nothing.
+
+    A refusal may name a limit, but only a response of work that was done ends one.
+
+    :param times: event loop times in seconds of the request and of the head of the response.
+    """
+    has_proof = _has_proof(response, names)
+    if response.status == _MISDIRECTED or not (has_proof or _is_refusal(response, names)):
         return None
+    request_id = message.get_header(attempt.request.headers, names.request_id) or b""
+    report = limit_header.read_limit(
+        response.headers, names, attempt.target.id, times, request_id.decode("latin-1")
+    )
+    return None if report is None or report.rate is None and not has_proof else report
 
 
 def _is_refusal(response: upstream.Response, names: header_names.HeaderNames) -> bool:
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -304,7 +304,7 @@
             stretched=slot.straggler.done(),
             seconds=report.seconds,
             slowdown=report.slowdown,
-            rate_limit=None if result is None else result.rate_limit,
+            rate_limit=None if report.limit is None else report.limit.rate,
             outcome=report.outcome.value,
             reason="abandoned" if result is None else result.reason,
         )
--- a/waxwingspool/proxy/header_names.py
+++ b/waxwingspool/proxy/header_names.py
@@ -27,6 +27,7 @@
     :ivar signature: proof that the response was made by the upstream itself.
     :ivar expected_upstream: id of the only upstream that may run the request.
     :ivar not_run: marks a response to a request that the upstream did not run.
+    :ivar instance: id of the upstream that answers a health check.
     :ivar rate_limit: present while the upstream limits the rate of requests.
     """
 
@@ -37,5 +38,6 @@
     not_run: bytes
     load: bytes
     parse_load: Callable[[str], Load | None]
+    instance: bytes
     rate_limit: bytes
     parse_rate_limit: Callable[[str], float]
