--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -413,6 +413,11 @@
         if not self._leaving and self._limits.lend(service, self._settings.ip):
             self._limits.record_loan(service, self._settings.ip)
 
+    def known_rate_limits(self) -> dict[str, float]:
+        """Return the rates that are kept to, in requests per second, by upstream."""
+        limits = {id_: self._limits.limits.rate(u) for id_, u in self._upstreams.items()}
+        return {id_: rate for id_, rate in limits.items() if rate is not None}
+
     def receive_rate_limit(self, peer_link: link.Link, frame: frames.RateLimit) -> None:
         """Record what a peer tells about the rate limit of an upstream."""
         self._limits.receive(peer_link, frame)
