--- a/demo/edge.py
+++ b/demo/edge.py
@@ -6,7 +6,7 @@
 import signal
 import sys
 
-from standins.deployment import client, cluster
+from standins.deployment import checker, client, cluster
 
 BALANCERS = 3
 # Upstreams of each service.
@@ -16,12 +16,18 @@
 SEED = 1
 # Second byte of the loopback addresses, outside the range 1 to 200 that the soak uses.
 SUBNET = 250
+# Upstream that names a rate limit, the limit in requests per second, how long it is named, and the
+# pause of a caller after a response meanwhile, in seconds.
+LIMITED, RATE_LIMIT, LIMITED_S, PAUSE_S = "tags-1", 2.0, 8.0, 0.02
 # Time limit for each balancer to become ready.
 READY_TIMEOUT_S = 20.0
 
 
 async def run_demo() -> collections.Counter:
-    """Send requests during a configuration change, a drain and a planned stop; count outcomes."""
+    """Send requests during a configuration change, a drain, a planned stop and a rate limit.
+
+    :returns: counts of the outcomes.
+    """
     counts: collections.Counter = collections.Counter()
     deployment = cluster.Cluster(BALANCERS, UPSTREAMS, SUBNET, random.Random(SEED))
     try:
@@ -34,6 +40,7 @@
             for caller_number, caller in enumerate(callers)
         ]
         await asyncio.gather(_run_events(deployment), *senders)
+        await _limit_rate(deployment, counts)
         for request_id, run_count in deployment.ledger.runs.items():
             counts["doubled"] += run_count > 1 and deployment.ledger.services[request_id] == "till"
     finally:
@@ -61,6 +68,26 @@
     await stopped.process.wait()
 
 
+async def _limit_rate(deployment: cluster.Cluster, counts: collections.Counter) -> None:
+    """Send lookups through the running balancers while an upstream names a rate limit."""
+    loop = asyncio.get_running_loop()
+    deployment.upstreams[LIMITED].limit_rate(RATE_LIMIT)
+    started_at = loop.time()
+
+    async def send_lookups(node: cluster.Node) -> None:
+        caller = client.Client((node.ip, cluster.FRONT_PORT))
+        while loop.time() < started_at + LIMITED_S:
+            counts["limited_sent"] += 1
+            request_id = f"limited-{node.name}-{counts['limited_sent']}"
+            response = await caller.send("GET", "/lookup/1", request_id)
+            counts["limited_answered"] += response.status == 200
+            await asyncio.sleep(PAUSE_S)
+        caller.close()
+
+    await asyncio.gather(*map(send_lookups, deployment.nodes[:-1]))
+    counts["over_limit"] += len(checker.check_rate_limits(deployment.ledger))
+
+
 async def _send_requests(
     caller: client.Client, caller_number: int, counts: collections.Counter
 ) -> None:
@@ -86,13 +113,15 @@
 def main() -> int:
     """Print one line of counts and return the exit status.
 
-    :returns: 1 if a response was wrong, a payment or an upload ran more than once, or no request
-        was answered with status 200; else 0.
+    :returns: 1 if a response was wrong, a payment or an upload ran more than once, an upstream got
+        more requests than its rate limit allows, or no request was answered with status 200; else
+        0.
     """
     counts = asyncio.run(run_demo())
-    names = ("sent", "answered", "not_run", "wrong", "doubled")
+    names = "sent answered not_run wrong doubled limited_sent limited_answered over_limit".split()
     print("demo edge:", " ".join(f"{name}={counts[name]}" for name in names))
-    return bool(counts["wrong"] or counts["doubled"] or not counts["answered"])
+    failed = counts["wrong"] or counts["doubled"] or counts["over_limit"]
+    return bool(failed or not counts["answered"])
 
 
 if __name__ == "__main__":
--- a/standins/deployment/planted.py
+++ b/standins/deployment/planted.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from waxwingspool.catalog import upstreams
-from waxwingspool.dispatch import budget
+from waxwingspool.dispatch import budget, rates
 from waxwingspool.edge import process, view
 from waxwingspool.fleet import tables
 from waxwingspool.proxy import body, exchange, forward, upstream
@@ -25,6 +25,7 @@
     :ivar balancer_faults: kills, pauses, stops and reloads of balancers.
     :ivar store_faults: faults of the store.
     :ivar whole_service_share: share of upstream faults that hit all upstreams of a service.
+    :ivar limited_s: shortest and longest time in seconds for which upstreams name rate limits.
     """
 
     upstream_faults: tuple[str, ...] = (
@@ -40,6 +41,7 @@
     balancer_faults: tuple[str, ...] = ("kill", "pause", "stop", "reload")
     store_faults: tuple[str, ...] = ("down", "reset", "silent", "slow", "lossy", "compact", "stale")
     whole_service_share: float = 0.25
+    limited_s: tuple[float, float] = (1.0, 12.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -123,6 +125,10 @@
     budget.RetryBudget.try_acquire = lambda self, now, balancer_count: True
 
 
+def _ignore_rate_limits() -> None:
+    rates.RateLimits.record = lambda self, upstream_id, started_ms, report: None
+
+
 def _ignore_disconnects() -> None:
     forward.Forwarder._run_until_deadline = _finish_work
 
@@ -196,6 +202,11 @@
     "endless-retries": PlantedFault(
         "retries within the limit", _disable_retry_budget, _SERVICE_ERRORS
     ),
+    "ignored-limits": PlantedFault(
+        "rate limits",
+        _ignore_rate_limits,
+        FaultMix(("slow",), balancer_faults=(), store_faults=(), limited_s=(9.0, 12.0)),
+    ),
     "work-for-nobody": PlantedFault("work for nobody ends", _ignore_disconnects, _SERVICE_SLOWNESS),
     "no-deadlines": PlantedFault("deadline passed on", _omit_deadlines),
     "hasty-stop": PlantedFault("no answer is lost", _stop_immediately, _BALANCER_STOPS),
--- a/standins/deployment/soak.py
+++ b/standins/deployment/soak.py
@@ -28,6 +28,10 @@
 # Time between SIGTERM and the kill, and the allowance for signal delivery, in seconds.
 GRACE_S = 6.0
 GRACE_SLACK_S = 0.5
+# Rate limits that upstreams name, in requests per second.
+RATE_LIMITS = (0.0, 0.2, 1.0, 2.2, 5.0)
+# Share of times at which all upstreams of a service name limits, one after the other.
+LIMITS_IN_TURN_SHARE = 0.25
 # Share of requests whose caller disconnects early.
 EARLY_DISCONNECT_SHARE = 0.15
 # Service that each kind of request is routed to.
@@ -119,6 +123,9 @@
         # When the last kill or pause of a balancer ended, by the balancer's name; infinite while it
         # lasts. No other fault of the balancer excuses a lost response.
         self._interruption_ended_at: dict[str, float] = {}
+        # Start and end of all faults of each balancer, by the balancer's name; the last end is
+        # infinite while the fault lasts.
+        self._balancer_faults: dict[str, list[tuple[float, float]]] = collections.defaultdict(list)
         # When the last fault of an upstream ended, by the upstream's id; infinite while it lasts.
         self._upstream_fault_ended_at: dict[str, float] = {}
         # The balancer that each request was sent to, by request id.
@@ -151,6 +158,7 @@
                 ):
                     tasks.create_task(self._repeat_fault(fault))
                 tasks.create_task(self._repeat_fault(self._drain_upstream))
+                tasks.create_task(self._repeat_fault(self._limit_rates))
             for promise, detail in self._check_ledger():
                 self.findings.record(promise, detail)
         finally:
@@ -233,9 +241,20 @@
             self._reported_not_run.append(response.request_id)
 
     def _check_ledger(self) -> list[tuple[str, str]]:
-        return checker.check_ledger(
-            self._cluster.ledger, self._reported_not_run, self._sent_requests
-        )
+        ledger = self._cluster.ledger
+        return [
+            *checker.check_ledger(ledger, self._reported_not_run, self._sent_requests),
+            *checker.check_rate_limits(ledger, self._is_disturbed),
+        ]
+
+    def _is_disturbed(self, request_id: str, at: float) -> bool:
+        """Return whether the balancer of a request may not have known a rate limit.
+
+        A kill, pause or restart of the balancer excuses it for a while.
+        """
+        node = self._node_by_request.get(request_id)
+        faults = [] if node is None else self._balancer_faults[node.name]
+        return any(start <= at < end + checker.RATE_SETTLING_S for start, end in faults)
 
     async def _watch_planted_fault(self) -> None:
         """End the run as soon as the promise of the planted fault is violated."""
@@ -309,6 +328,8 @@
         node = self._rng.choice(self._cluster.nodes)
         action = self._rng.choice(self._fault_mix.balancer_faults)
         self._fault_ended_at[node.name] = float("inf")
+        faults, started_at = self._balancer_faults[node.name], self._now()
+        faults.append((started_at, float("inf")))
         if action in ("kill", "pause"):
             self._interruption_ended_at[node.name] = float("inf")
         if action == "reload":
@@ -322,6 +343,7 @@
         else:
             await self._restart(node, action)
         self._fault_ended_at[node.name] = self._now()
+        faults[-1] = (started_at, self._now())
         if action in ("kill", "pause"):
             self._interruption_ended_at[node.name] = self._now()
 
@@ -430,6 +452,22 @@
             target.fault = None
             self._upstream_fault_ended_at[target.id] = self._now()
 
+    async def _limit_rates(self) -> None:
+        """Let upstreams of a service name rate limits for a while, some or all in turn."""
+        service = self._rng.choice(cluster.SERVICES)
+        chosen = [u for u in self._cluster.upstreams.values() if u.service == service]
+        in_turn = self._rng.random() < LIMITS_IN_TURN_SHARE
+        if not in_turn:
+            chosen = self._rng.sample(chosen, self._rng.randint(1, len(chosen) - 1))
+        for target in chosen:
+            target.limit_rate(self._rng.choice(RATE_LIMITS))
+            if in_turn:
+                await asyncio.sleep(self._rng.uniform(*self._fault_mix.limited_s) / len(chosen))
+                target.limit_rate(None)
+        await asyncio.sleep(self._rng.uniform(*self._fault_mix.limited_s))
+        for target in chosen:
+            target.limit_rate(None)
+
     async def _drain_upstream(self) -> None:
         """Drain an upstream and check that it gets no new requests after the time limit."""
         id_ = self._rng.choice(list(self._cluster.upstreams))
