--- a/demo/edge.py
+++ b/demo/edge.py
@@ -118,7 +118,8 @@
         0.
     """
     counts = asyncio.run(run_demo())
-    names = "sent answered not_run wrong doubled limited_sent limited_answered over_limit".split()
+    names = ("sent", "answered", "not_run", "wrong", "doubled")
+    names += ("limited_sent", "limited_answered", "over_limit")
     print("demo edge:", " ".join(f"{name}={counts[name]}" for name in names))
     failed = counts["wrong"] or counts["doubled"] or counts["over_limit"]
     return bool(failed or not counts["answered"])
