Take an upstream's row that is nested too deep or out of range for unusable

Another writer may leave any bytes among the rows of upstreams. Fields were checked for their types, not for depth or range, and only two kinds of errors were expected: 4,000 nested arrays raised RecursionError out of Link.data_received, after the version had been stored, so that sound rows of the same batch were never applied; 400 digits of slots raised OverflowError at each request; a port of 99999 or a host with a blank raised OverflowError or ValueError where probes and forwarding expect OSError.

Slots, warm-up and start now have ranges, addresses are IPv4 numbers with a port, ids are tokens that may stand in a header, and too deep values are unreadable.

--- a/waxwingspool/platform/registration.py
+++ b/waxwingspool/platform/registration.py
@@ -1,5 +1,8 @@
 """Decoding of the registration rows that upstreams write to the metadata store."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
 from waxwingspool.catalog import upstreams
@@ -10,6 +13,15 @@
 # Store table with one row for each upstream; the key is the upstream's id.
 TABLE = "servers"
 
+# Largest number of slots: an upstream with as many connections as a port range allows.
+MAX_SLOTS = 65536
+# Longest warm-up in milliseconds: a day.
+MAX_WARMUP_MS = 86_400_000
+# Latest start, as Unix time in milliseconds.
+MAX_STARTED_MS = 10**15
+
+# An id is sent as the value of a header.
+_ID = re.compile(r"[!-~]{1,200}")
 _READY = "ready"
 _DRAINING = "draining"
 
@@ -19,9 +31,9 @@
     address: str
     zone: str
     state: str
-    slots: int
-    warmup_left_ms: float = 0
-    born: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARMUP_MS)] = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = 0
 
 
 _decoder = msgspec.json.Decoder(_Entry)
@@ -38,9 +50,10 @@
     try:
         entry = _decoder.decode(value)
         address = settings.parse_address(entry.address)
-    except (msgspec.DecodeError, ValueError):
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        # Unknown fields are skipped, but the decoder limits the depth of nested values.
         return None
-    if entry.state not in (_READY, _DRAINING) or entry.slots < 1:
+    if entry.state not in (_READY, _DRAINING) or not _ID.fullmatch(id_):
         return None
     return upstreams.Upstream(
         id=id_,
@@ -49,7 +62,7 @@
         data_centre=entry.zone,
         slots=entry.slots,
         draining=entry.state == _DRAINING,
-        warm_at=now + entry.warmup_left_ms / 1000,
+        warm_at=now + max(0.0, entry.warmup_left_ms) / 1000,
         started_ms=entry.born,
         row_version=row_version,
     )
--- a/waxwingspool/platform/settings.py
+++ b/waxwingspool/platform/settings.py
@@ -1,6 +1,8 @@
 """The settings file that the platform writes for each process."""
 
+import ipaddress
 import pathlib
+import re
 import tomllib
 from collections.abc import Mapping
 
@@ -13,6 +15,11 @@
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = "WAXWINGSPOOL_NODE_FILE"
+# Longest address of the form ``ip:port``, in characters, and the highest port.
+MAX_ADDRESS_CHARS = 21
+MAX_PORT = 65535
+
+_PORT = re.compile(r"\d+", re.ASCII)
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -74,13 +81,18 @@
 
 
 def parse_address(text: str) -> node.Address:
-    """Parse an address of the form ``ip:port``.
+    """Parse an address of the form ``ip:port``, with an IPv4 address.
+
+    :raises ValueError: if the text does not have this form, or the address can't be connected to.
 
-    :raises ValueError: if the text does not have this form.
+    >>> parse_address("10.0.0.1:80")
+    ('10.0.0.1', 80)
     """
-    host, separator, port = text.rpartition(":")
-    if not separator or not host:
-        raise ValueError(f"invalid address {text!r}: expected ip:port")
+    host, _, port = text.rpartition(":")
+    if len(text) > MAX_ADDRESS_CHARS or not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"invalid address {text[:MAX_ADDRESS_CHARS]!r}: expected ip:port")
+    if ipaddress.IPv4Address(host).is_unspecified:
+        raise ValueError(f"invalid address {text!r}: no upstream or server has it")
     return host, int(port)
 
 
