Bound depth and range of everything else that is decoded

The cause of the odd rows acts wherever input is checked for type alone. Nested values left RecursionError behind in frames, pages of the store, configurations, members and settings; members with a name for a key, or with infinite links, joined; a load of 1e308 went into averages. Now depth and range are checked at each border, and 3,000 mutations of each format end in a value or in the error that callers expect.

--- a/waxwingspool/fleet/link.py
+++ b/waxwingspool/fleet/link.py
@@ -85,7 +85,7 @@
         try:
             for encoded in frames.split(self._buffer):
                 self._deliver(frames.decode(encoded))
-        except (ValueError, msgspec.DecodeError) as error:
+        except (ValueError, RecursionError, msgspec.DecodeError) as error:
             eventlog.event("peer.malformed", peer=self.peer, error=error)
             self.close()
 
--- a/waxwingspool/fleet/members.py
+++ b/waxwingspool/fleet/members.py
@@ -4,6 +4,9 @@
 is working.
 """
 
+import ipaddress
+from typing import Annotated
+
 import msgspec
 
 from waxwingspool.catalog import node
@@ -32,9 +35,9 @@
     name: str
     data_centre: str
     region: str
-    link_mbps: float = 1000.0
-    cores: float = 1.0
-    store_rtt_s: float | None = None
+    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 1000.0
+    cores: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 1.0
+    store_rtt_s: Annotated[float, msgspec.Meta(ge=0, le=3600)] | None = None
 
 
 _decoder = msgspec.json.Decoder(Member)
@@ -139,7 +142,7 @@
 
         :param ip: address of the member, which is the key of its row.
         :param value: value of the row, ``None`` if it was deleted.
-        :returns: whether the value could be decoded.
+        :returns: whether the key is an address and the value could be decoded.
         """
         self._revision += 1
         if value is None:
@@ -147,8 +150,9 @@
                 self._members.pop(ip, None)
             return True
         try:
+            ipaddress.IPv4Address(ip)
             member = _decoder.decode(value)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, ValueError, RecursionError):
             return False
         for other, existing in list(self._members.items()):
             # A replacement VM has the name of the VM that it replaces.
--- a/waxwingspool/platform/configuration.py
+++ b/waxwingspool/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decodes the configuration that operators write to the store into a routing table."""
 
+from typing import Annotated
+
 import msgspec
 
 from waxwingspool import exceptions
@@ -19,16 +21,21 @@
 }
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+# Longest time in milliseconds: about 30 years.
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+
+
 class _Limits(msgspec.Struct, rename="kebab"):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _Count
+    max_body_bytes: _Count
+    header_timeout_ms: _Milliseconds
+    idle_timeout_ms: _Milliseconds
 
 
 class _Part(msgspec.Struct, rename="kebab"):
     service: str
-    weight: float
+    weight: Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 
 
 class _Match(msgspec.Struct, rename="kebab"):
@@ -36,8 +43,8 @@
 
 
 class _Action(msgspec.Struct, rename="kebab"):
-    timeout_ms: float
-    max_attempts: int = 1
+    timeout_ms: _Milliseconds
+    max_attempts: Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)] = 1
     service: str | None = None
     weighted_split: list[_Part] | None = None
 
@@ -48,8 +55,8 @@
     action: _Action
     name: str = ""
     # Latency objective; a slower response is of less value to the caller.
-    latency_goal_ms: float = 1000
-    priority: int = 0
+    latency_goal_ms: _Milliseconds = 1000
+    priority: Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)] = 0
 
 
 class _Listener(msgspec.Struct, rename="kebab"):
@@ -62,11 +69,11 @@
     # A cluster is the platform's name for a service.
     name: str
     health_path: str = "/health"
-    max_conns: int = 100
+    max_conns: _Count = 100
 
 
 class _Document(msgspec.Struct, rename="kebab"):
-    version: int
+    version: _Count
     limits: _Limits
     listeners: list[_Listener]
     clusters: list[_Cluster]
@@ -83,7 +90,7 @@
     try:
         document = _decoder.decode(value)
         return _to_route_table(document)
-    except (msgspec.DecodeError, KeyError, ValueError) as error:
+    except (msgspec.DecodeError, KeyError, ValueError, RecursionError) as error:
         raise exceptions.ConfigurationError(f"invalid stored configuration: {error}") from error
 
 
--- a/waxwingspool/platform/headers.py
+++ b/waxwingspool/platform/headers.py
@@ -9,6 +9,9 @@
 
 # Path at which the platform checks whether this balancer accepts new connections.
 READINESS_PATH = "/v1/readiness"
+# Longest text of a load, in characters, and its largest number: requests, or a slowdown in percent.
+MAX_LOAD_CHARS = 100
+MAX_LOAD_FIELD = 1e6
 # Longest text of a rate limit, in characters: more digits than a double holds.
 MAX_RATE_LIMIT_CHARS = 32
 
@@ -26,12 +29,14 @@
     >>> parse_load("many") is None
     True
     """
+    if len(text) > MAX_LOAD_CHARS:
+        return None
     try:
         fields = [float(field) for field in text.split(",")]
         running, waiting, slots = fields[:3]
     except ValueError:
         return None
-    if not all(map(math.isfinite, fields)):
+    if not all(0 <= field <= MAX_LOAD_FIELD for field in fields):
         return None
     slowdown = fields[3] / 100 if len(fields) > 3 else None
     return header_names.Load(int(running), int(waiting), int(slots), slowdown)
--- a/waxwingspool/platform/settings.py
+++ b/waxwingspool/platform/settings.py
@@ -104,7 +104,7 @@
     try:
         file = msgspec.convert(tomllib.loads(text), _File, strict=False)
         return _to_node_settings(file)
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError, RecursionError) as error:
         raise exceptions.ConfigurationError(f"invalid settings file: {error}") from error
 
 
--- a/waxwingspool/platform/store.py
+++ b/waxwingspool/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import urllib.parse
+from typing import Annotated
 
 import msgspec
 
@@ -11,6 +12,9 @@
 __all__ = ["Page", "Row", "changes_request", "decode_page", "listing_request", "put_request"]
 
 
+_Version = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
     """One row; ``value`` is ``None`` if the row was deleted."""
@@ -38,7 +42,7 @@
 
 class _Row(msgspec.Struct, rename="kebab"):
     key: str
-    ver: int
+    ver: _Version
     part: str = ""
     value: str | None = None
     # Marks a deleted row.
@@ -46,10 +50,10 @@
 
 
 class _Page(msgspec.Struct, rename="kebab"):
-    ver: int
+    ver: _Version
     rows: list[_Row] = []
     has_more: bool = False
-    now_ms: float | None = None
+    now_ms: Annotated[float, msgspec.Meta(ge=0, le=2**63)] | None = None
 
 
 class _Put(msgspec.Struct, rename="kebab"):
@@ -105,7 +109,7 @@
     try:
         page = _decoder.decode(body)
         rows = tuple(Row(row.key, _decode_value(row), row.ver) for row in page.rows if not row.part)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise exceptions.StoreUnavailable(f"malformed response: {error}") from error
     clock_s = None if page.now_ms is None else page.now_ms / 1000
     return Page(rows, page.ver, page.has_more, clock_s)
--- a/waxwingspool/platform/tests/test_odd_entries.py
+++ b/waxwingspool/platform/tests/test_odd_entries.py
@@ -5,12 +5,13 @@
 import unittest
 from unittest import mock
 
+from waxwingspool import exceptions
 from waxwingspool.catalog import upstreams
 from waxwingspool.dispatch import limits
 from waxwingspool.edge import view
 from waxwingspool.fleet import frames, link, members, tables
 from waxwingspool.fleet.tests import test_tables
-from waxwingspool.platform import registration, store
+from waxwingspool.platform import configuration, headers, registration, settings, store
 from waxwingspool.platform.tests import test_decoding
 
 NESTED = "[" * 100_000 + "]" * 100_000
@@ -131,6 +132,119 @@
                 peer_link._transport.abort.assert_not_called()
                 self.check_sound_rows_hold("i-2", count=1)
 
+    def test_odd_members_are_left_out(self) -> None:
+        values = [
+            b"",
+            b'{"name":"n","data_centre":"a","region":"a","x":' + NESTED.encode() + b"}",
+            b'{"name":"n","data_centre":"a","region":"a","cores":1e308}',
+            b'{"name":"n","data_centre":"a","region":"a","link_mbps":-1}',
+            b'{"name":"n","data_centre":"a","region":"a","store_rtt_s":' + DIGITS.encode() + b"}",
+        ]
+        sound = b'{"name":"n","data_centre":"a","region":"a"}'
+        for value in values:
+            with self.subTest(value[:60]):
+                self.assertFalse(self.members.update("10.0.0.7", value))
+        for key in ("x", "10.0.0.256", "10.0.0.7:1", ""):
+            with self.subTest(key):
+                self.assertFalse(self.members.update(key, sound))
+        self.assertEqual(1, self.members.count)
+        self.assertTrue(self.members.update("10.0.0.7", sound))
+
+
+class MessageTest(unittest.TestCase):
+    """Everything else that is decoded: frames, pages, configurations, settings and headers."""
+
+    def test_nested_frames_close_the_link_as_malformed(self) -> None:
+        depth = 100_000
+        nested = b"\x91" * depth + b"\xc0"
+        datas = [nested, b"\x92\x0d" + nested, b"\x93\x00\xa1a" + nested]
+        for data in datas:
+            with self.subTest(data[:4]), mock.patch.object(link.eventlog, "event") as event:
+                peer_link = link.Link("10.0.0.2", mock.Mock(), mock.Mock())
+                peer_link.connection_made(mock.Mock())
+                peer_link.data_received(len(data).to_bytes(4, "big") + data)
+                peer_link._transport.abort.assert_called_once()
+                event.assert_called_once()
+
+    def test_any_bytes_are_a_frame_or_malformed(self) -> None:
+        rng = random.Random(2)
+        request = frames.SlotRequest("s", 1, "a", 1.0, 1.0, 1, 0, ("u",), False, False, True)
+        sent = [
+            request,
+            frames.Granted(1, "u", 0.1, True),
+            frames.RateLimit("u", 1, 2.0, 1.0, 0.2, 0.1, "r", False),
+            frames.Rows("servers", None, 9, [("i-1", 5, b"x")]),
+        ]
+        for _ in range(3000):
+            peer_link = link.Link("10.0.0.2", mock.Mock(), mock.Mock())
+            peer_link.connection_made(mock.Mock())
+            with mock.patch.object(link.eventlog, "event"):
+                peer_link.data_received(mutate(rng, frames.encode(rng.choice(sent))))
+
+    def test_nested_pages_count_as_an_outage(self) -> None:
+        for text in (NESTED, NESTED_OBJECTS):
+            for body in (text, f'{{"ver":1,"x":{text}}}', f'{{"ver":1,"rows":[{text}]}}'):
+                with self.subTest(body[:20]), self.assertRaises(exceptions.StoreUnavailable):
+                    store.decode_page(body.encode())
+
+    def test_page_out_of_range_counts_as_an_outage(self) -> None:
+        for body in (f'{{"ver":{DIGITS}}}', f'{{"ver":1,"now-ms":{DIGITS}}}', '{"ver":-9}'):
+            with self.subTest(body[:20]), self.assertRaises(exceptions.StoreUnavailable):
+                store.decode_page(body.encode())
+
+    def test_any_bytes_are_a_page_or_an_outage(self) -> None:
+        rng = random.Random(3)
+        body = b'{"ver":9,"now-ms":1.5,"rows":[{"key":"a","ver":4,"value":"eA=="}]}'
+        for _ in range(3000):
+            try:
+                store.decode_page(mutate(rng, body))
+            except exceptions.StoreUnavailable:
+                pass
+
+    def test_odd_configurations_are_rejected(self) -> None:
+        document = test_decoding.make_document()
+        text = json.dumps(document)
+        action = '"timeout-ms": 1000'
+        self.assertIn(action, text)
+        odd = [
+            NESTED,
+            text[:-1] + f', "x": {NESTED}}}',
+            text.replace(action, f'"timeout-ms": {DIGITS}'),
+            text.replace(action, '"timeout-ms": -1'),
+            text.replace('"max-attempts": 2', f'"max-attempts": {DIGITS}'),
+            text.replace('"weight": 90', '"weight": -1'),
+            text.replace('"priority": 2', f'"priority": {DIGITS}'),
+            text.replace('"version": 7', f'"version": {DIGITS}'),
+            text.replace('"max-body-bytes": 1000', f'"max-body-bytes": {DIGITS}'),
+        ]
+        for value in odd:
+            with self.subTest(value[:60]), self.assertRaises(exceptions.ConfigurationError):
+                configuration.decode(value.encode())
+
+    def test_any_bytes_are_a_configuration_or_rejected(self) -> None:
+        rng = random.Random(4)
+        value = json.dumps(test_decoding.make_document()).encode()
+        for _ in range(3000):
+            try:
+                configuration.decode(mutate(rng, value))
+            except exceptions.ConfigurationError:
+                pass
+
+    def test_odd_settings_are_rejected(self) -> None:
+        text = test_decoding.SETTINGS_FILE
+        for odd in (
+            text + "x = " + NESTED,
+            text.replace("10.1.0.34:8548", "10.1.0.34:99999"),
+            text.replace("10.200.1.7:8541", "store:8541"),
+        ):
+            with self.subTest(odd[-40:]), self.assertRaises(exceptions.ConfigurationError):
+                settings.decode(odd)
+
+    def test_load_out_of_range_is_ignored(self) -> None:
+        for text in ("1e308,0,4", "-1,0,4", "1,0,4,1e300", "1,0,4,-5", ",".join(["1"] * 9999)):
+            with self.subTest(text[:20]):
+                self.assertIsNone(headers.parse_load(text))
+
 
 def mutate(rng: random.Random, data: bytes) -> bytes:
     """Return data with some bytes replaced, inserted, removed or repeated."""
