Don't fail a request, or end health checks, for a header with odd digits

A caller's deadline of 400 digits raised OverflowError and one of 5,000 ValueError in the task of its request. One load header that cannot be read looked like a service that reports no load, and its upstream was never probed again. A deadline of more than 15 characters now counts as none, and an unreadable load is logged and left out.

--- a/waxwingspool/fleet/probes.py
+++ b/waxwingspool/fleet/probes.py
@@ -11,7 +11,7 @@
 
 from waxwingspool.catalog import upstreams
 from waxwingspool.fleet import slots
-from waxwingspool.observe import counters
+from waxwingspool.observe import counters, eventlog
 from waxwingspool.proxy import header_names, limit_header, message, upstream
 
 __all__ = ["Prober"]
@@ -93,7 +93,7 @@
                             connection = await upstream.connect(
                                 target.address, self._local_ip, TIMEOUT_S, None
                             )
-                        load = await self._get_load(connection, target, path)
+                        text = await self._get_load(connection, target, path)
                 except (OSError, TimeoutError, upstream.Broken) as error:
                     counters.count("waxwingspool_probes_failed", reason=type(error).__name__)
                     self._slot_manager.record_failed_probe(target)
@@ -102,20 +102,28 @@
                     connection = None
                 else:
                     counters.count("waxwingspool_probes_answered")
-                    if load is None:
+                    if text is None:
                         # The service does not report its load, so more probes are useless. Wait to
                         # be cancelled, because a probe that returns would be started again.
                         return await asyncio.Event().wait()
-                    outstanding = load.running + load.waiting
-                    self._slot_manager.record_probe(target, outstanding, load.slowdown)
+                    self._record_load(target, text)
                 await asyncio.sleep(INTERVAL_S)
         finally:
             if connection is not None:
                 connection.abort()
 
+    def _record_load(self, target: upstreams.Upstream, text: str) -> None:
+        """Record the load that an upstream reports, unless it can't be read."""
+        load = self._header_names.parse_load(text)
+        if load is None:
+            eventlog.event("upstream.load.unreadable", upstream=target.id, load=text[:100])
+            return
+        self._slot_manager.record_probe(target, load.running + load.waiting, load.slowdown)
+
     async def _get_load(
         self, connection: upstream.Connection, target: upstreams.Upstream, path: str
-    ) -> header_names.Load | None:
+    ) -> str | None:
+        """Send a health check; return the load header, ``None`` if there is none."""
         host = f"{target.address[0]}:{target.address[1]}".encode()
         head = message.format_head(b"GET " + path.encode() + b" HTTP/1.1", [(b"host", host)])
         sent_at = asyncio.get_running_loop().time()
@@ -136,4 +144,4 @@
             if limit is not None:
                 self._slot_manager.record_probed_limit(target, limit)
         value = message.get_header(response.headers, self._header_names.load)
-        return None if value is None else self._header_names.parse_load(value.decode("latin-1"))
+        return None if value is None else value.decode("latin-1")
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -35,6 +35,9 @@
 # Slowest average rate after the deadline of a response with a length, in bytes per second.
 MIN_LATE_RATE = 16 * 1024
 
+# Longest text of the time that a caller waits, in characters.
+MAX_TIMEOUT_CHARS = 15
+
 _STOPPING = "the balancer is stopping"
 
 
@@ -191,7 +194,7 @@
     def _get_caller_timeout_s(self, request: caller.Request, route: routes.Route) -> float:
         """Return how long the caller waits for the response, in seconds."""
         value = message.get_header(request.headers, self._header_names.timeout_ms)
-        if value is None or not value.strip().isdigit():
+        if value is None or len(value) > MAX_TIMEOUT_CHARS or not value.strip().isdigit():
             return route.timeout_s
         return int(value) / 1000
 
--- a/waxwingspool/proxy/tests/test_forward.py
+++ b/waxwingspool/proxy/tests/test_forward.py
@@ -180,3 +180,16 @@
         self.assertEqual(("request.rejected",), event.call_args.args)
         self.assertEqual((404, 1, 0.25), (fields["status"], fields["version"], fields["age_s"]))
         self.assertEqual(caller.MAX_LOGGED_BYTES, len(fields["path"]))
+
+    def get_timeout_s(self, text: bytes) -> float:
+        forwarder = self.make_forwarder()
+        request = make_request()
+        request.headers[1] = (b"x-request-deadline", text)
+        route = forwarder._state.route_table.find("a", "/t/x")
+        return forwarder._get_caller_timeout_s(request, route)
+
+    async def test_timeout_with_too_many_digits_counts_as_that_of_the_route(self) -> None:
+        self.assertEqual(1.5, self.get_timeout_s(b"1500"))
+        for text in (b"9" * 400, b"9" * 5000, b"-5", b"1e3", b""):
+            with self.subTest(text[:10]):
+                self.assertEqual(TIMEOUT_S, self.get_timeout_s(text))
--- a/waxwingspool/proxy/tests/test_limit_header.py
+++ b/waxwingspool/proxy/tests/test_limit_header.py
@@ -119,3 +119,26 @@
     async def test_health_check_that_another_upstream_answers_tells_nothing(self) -> None:
         slot_manager = await self.probe(b"X-Instance-Id: u2\r\nServer-Limit: 2\r\n")
         slot_manager.record_probed_limit.assert_not_called()
+
+    async def test_unreadable_load_does_not_end_the_health_checks(self) -> None:
+        self.response = b"HTTP/1.1 200 OK\r\nX-Server-Load: nan,0,4\r\nContent-Length: 0\r\n\r\n"
+        slot_manager = mock.Mock()
+        checks = iter(range(100))
+
+        def may_probe(target: upstreams.Upstream) -> bool:
+            if next(checks) == 2:
+                load = b"X-Server-Load: 1,0,4,100\r\n"
+                self.response = b"HTTP/1.1 200 OK\r\n" + load + b"Content-Length: 0\r\n\r\n"
+            return True
+
+        probed = asyncio.Event()
+        slot_manager.may_probe.side_effect = may_probe
+        slot_manager.record_probe.side_effect = lambda *_: probed.set()
+        prober = probes.Prober(
+            "127.0.0.1", slot_manager, lambda service: "/health", headers.HEADER_NAMES
+        )
+        task = asyncio.create_task(prober._probe(self.target))
+        async with asyncio.timeout(10.0):
+            await probed.wait()
+        task.cancel()
+        await asyncio.wait((task,))
