--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -38,7 +38,11 @@
 
     async def put(self, table: str, key: str, value: object) -> int:
         """Write a row on behalf of an operator or an upstream; return its version."""
-        return await self._write(table, key, json.dumps(value).encode())
+        return await self.put_value(table, key, json.dumps(value).encode())
+
+    async def put_value(self, table: str, key: str, value: bytes) -> int:
+        """Write a row with any bytes, as another writer might; return its version."""
+        return await self._write(table, key, value)
 
     async def remove(self, table: str, key: str) -> None:
         """Replace a row by a tombstone."""
