--- a/waxwingspool/fleet/probes.py
+++ b/waxwingspool/fleet/probes.py
@@ -120,6 +120,17 @@
             return
         self._slot_manager.record_probe(target, load.running + load.waiting, load.slowdown)
 
+    def _record_limit(
+        self, target: upstreams.Upstream, response: upstream.Response, times: tuple[float, float]
+    ) -> None:
+        """Record what a health check tells about the rate limit, if the upstream answered it."""
+        names = self._header_names
+        if message.get_header(response.headers, names.instance) != target.id.encode():
+            return
+        limit = limit_header.read_limit(response.headers, names, target.id, times, probe=True)
+        if limit is not None and (response.status == 200 or limit.rate is not None):
+            self._slot_manager.record_probed_limit(target, limit)
+
     async def _get_load(
         self, connection: upstream.Connection, target: upstreams.Upstream, path: str
     ) -> str | None:
@@ -135,13 +146,6 @@
         if response.body.failed:
             raise upstream.Broken(upstream.ExchangeFailure.TRUNCATED, "response to a probe")
         connection.finish()
-        instance = message.get_header(response.headers, self._header_names.instance)
-        if response.status == 200 and instance == target.id.encode():
-            times = (sent_at, received_at)
-            limit = limit_header.read_limit(
-                response.headers, self._header_names, target.id, times, probe=True
-            )
-            if limit is not None:
-                self._slot_manager.record_probed_limit(target, limit)
+        self._record_limit(target, response, (sent_at, received_at))
         value = message.get_header(response.headers, self._header_names.load)
         return None if value is None else value.decode("latin-1")
--- a/waxwingspool/fleet/rate_limits.py
+++ b/waxwingspool/fleet/rate_limits.py
@@ -5,8 +5,9 @@
 knows with its first request. See :mod:`waxwingspool.dispatch.shares` for the shares.
 """
 
+import math
 import time
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from waxwingspool.catalog import node, upstreams
 from waxwingspool.dispatch import rates, shares
@@ -20,6 +21,8 @@
 # Time in seconds for which a computed share is used.
 SHARE_CACHE_S = 0.02
 
+_GetOwners = Callable[[upstreams.Upstream], Collection[str]]
+
 
 class SharedLimits:
     """Rate limits that this balancer knows, and its share of them.
@@ -87,6 +90,11 @@
         upstream = self._upstreams.get(frame.upstream)
         if upstream is None or upstream.started_ms != frame.started_ms:
             return
+        if frame.rate is not None and not 0 <= frame.rate < math.inf:
+            eventlog.event(
+                "upstream.limit.unreadable", upstream=frame.upstream, source=peer_link.peer
+            )
+            return
         told_at = min(time.monotonic(), peer_link.to_local_time(frame.told_at, None))
         report = rates.LimitReport(
             frame.rate,
@@ -177,7 +185,7 @@
 class _LentShares:
     """Part of the rate limits that the balancers of a region lend to a dispatcher."""
 
-    def __init__(self, loans: shares.Loans, get_owners) -> None:
+    def __init__(self, loans: shares.Loans, get_owners: _GetOwners) -> None:
         self._loans = loans
         self._get_owners = get_owners
         self._cache: dict[str, tuple[float, float]] = {}
@@ -196,7 +204,9 @@
 class _OwnShare:
     """Part of the rate limits that belongs to one balancer, while it is lent to no dispatcher."""
 
-    def __init__(self, lender: shares.Lender, service: str, own_ip: str, get_owners) -> None:
+    def __init__(
+        self, lender: shares.Lender, service: str, own_ip: str, get_owners: _GetOwners
+    ) -> None:
         self._lender = lender
         self._service = service
         self._own_ip = own_ip
--- a/waxwingspool/proxy/exchange.py
+++ b/waxwingspool/proxy/exchange.py
@@ -253,7 +253,11 @@
         return None
     request_id = message.get_header(attempt.request.headers, names.request_id) or b""
     report = limit_header.read_limit(
-        response.headers, names, attempt.target.id, times, request_id.decode("latin-1")
+        response.headers,
+        names,
+        attempt.target.id,
+        times,
+        request_id[: caller.MAX_LOGGED_BYTES].decode("latin-1"),
     )
     return None if report is None or report.rate is None and not has_proof else report
 
