Rank readers, and keep copies of tables, in modules of their own

The models of rate limits share their settings and disturbances with the tests and the experiment. Behaviour is unchanged: the tests of the fleet pass as they are, but for three names.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -72,40 +72,11 @@
 }
 
 
-def _watch(fleet: rate_model.Fleet, seconds: float) -> None:
-    fleet.loop.advance(seconds)
-
-
-def _kill(fleet: rate_model.Fleet, seconds: float) -> None:
-    """Kill the dispatcher every three seconds, and start it again at the next."""
-
-    def kill() -> None:
-        for balancer in fleet.balancers.values():
-            if not balancer.running:
-                balancer.start()
-        fleet.dispatcher().kill()
-
-    fleet.repeat(seconds, 3.0, kill)
-
-
-def _split(fleet: rate_model.Fleet, seconds: float) -> None:
-    """Cut the balancers into two halves."""
-    ranking = fleet.ranking()
-    fleet.part([ranking[0::2], ranking[1::2]])
-    fleet.loop.advance(seconds)
-
-
-def _isolate(fleet: rate_model.Fleet, seconds: float) -> None:
-    """Cut each balancer off from all others."""
-    fleet.part([balancer] for balancer in fleet.balancers.values())
-    fleet.loop.advance(seconds)
-
-
 DISTURBANCES: dict[str, Callable[[rate_model.Fleet, float], None]] = {
-    "calm": _watch,
-    "kill": _kill,
-    "split": _split,
-    "isolate": _isolate,
+    "calm": lambda fleet, seconds: fleet.loop.advance(seconds),
+    "kill": rate_model.Fleet.kill_dispatchers,
+    "split": rate_model.Fleet.split,
+    "isolate": rate_model.Fleet.isolate,
 }
 
 
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -20,7 +20,7 @@
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
 from waxwingspool.dispatch import readers
-from waxwingspool.fleet import frames, link, members
+from waxwingspool.fleet import frames, link, members, reader_ranking, table_copy
 from waxwingspool.fleet import store as store_client
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import store
@@ -90,9 +90,6 @@
 # seconds; also the shortest time between two reports of a recovery.
 MIN_OUTAGE_S = 2.0
 
-# Maximum number of deleted rows that a copy remembers in order to forward them to new subscribers.
-MAX_DELETIONS = 1000
-
 # Source of rows that were read from the store; otherwise it is the address of a peer.
 STORE = "store"
 
@@ -116,58 +113,6 @@
 OnRows = Callable[[Update], None]
 
 
-@dataclasses.dataclass(slots=True)
-class _TableCopy:
-    """This balancer's copy of one table.
-
-    :ivar version: version of the store up to which all changes are included; -1 before the first
-        listing.
-    :ivar fresh_at: monotonic time in seconds at which the store last confirmed the copy.
-    :ivar deletions: versions of the rows that were deleted after ``deletions_since``.
-    """
-
-    version: int = -1
-    fresh_at: float = float("-inf")
-    rows: dict[str, store.Row] = dataclasses.field(default_factory=dict)
-    deletions: dict[str, int] = dataclasses.field(default_factory=dict)
-    deletions_since: int = 0
-
-    def changes_after(self, version: int) -> list[store.Row] | None:
-        """Return all changes after a version, ``None`` if they are no longer known."""
-        if version < self.deletions_since:
-            return None
-        changed = [row for row in self.rows.values() if row.version > version]
-        deleted = [
-            store.Row(key, None, deleted_in)
-            for key, deleted_in in self.deletions.items()
-            if deleted_in > version
-        ]
-        return changed + deleted
-
-    def replace(self, rows: dict[str, store.Row], version: int) -> None:
-        """Replace the copy by a complete listing."""
-        self.rows = rows
-        self.version = version
-        self._forget_deletions()
-
-    def apply(self, changes: Iterable[store.Row], version: int) -> None:
-        """Apply all changes up to a version."""
-        self.version = version
-        for row in changes:
-            if row.value is None:
-                self.rows.pop(row.key, None)
-                self.deletions[row.key] = row.version
-            else:
-                self.rows[row.key] = row
-                self.deletions.pop(row.key, None)
-        if len(self.deletions) > MAX_DELETIONS:
-            self._forget_deletions()
-
-    def _forget_deletions(self) -> None:
-        self.deletions.clear()
-        self.deletions_since = self.version
-
-
 class TableCopies:
     """Copies of the store's tables, kept fresh through a reader or by direct reads.
 
@@ -197,7 +142,9 @@
         self._required_tables = required_tables
         self._on_rows = on_rows
         self._on_recovery = on_recovery
-        self._copies = {table: _TableCopy() for table in (*required_tables, members.TABLE)}
+        self._copies = {
+            table: table_copy.TableCopy() for table in (*required_tables, members.TABLE)
+        }
         self._subscribers: set[link.Link] = set()
         # Peers that gave up this balancer as reader, and whether it had no fresh rows then.
         self._former_subscribers: set[link.Link] = set()
@@ -213,8 +160,7 @@
         self._reader_is_fresh = False
         # Balancers that were followed without delivering fresh rows, with the time of the failover.
         self._stale_since: dict[str, float] = {}
-        self._ranks: dict[str, list[str]] = {}
-        self._ranks_revision = -1
+        self._ranking = reader_ranking.ReaderRanking(settings, membership, links)
         # Number of consecutive failed calls to the store, and time of the last successful one.
         self._failed_calls: collections.Counter[str] = collections.Counter()
         self._read_at: dict[str, float] = {}
@@ -449,16 +395,10 @@
         self._follow_until = time.monotonic() + self._rng.uniform(MIN_FOLLOW_S, MAX_FOLLOW_S)
 
     def _failovers_before_direct_read(self) -> int:
-        if self._reads_cross_regions():
+        if self._ranking.reads_cross_regions:
             return MAX_FAILOVERS_BEFORE_DIRECT_READ
         return MIN_FAILOVERS_BEFORE_DIRECT_READ
 
-    def _reads_cross_regions(self) -> bool:
-        """Return whether the store's responses to this region may pass a link between regions."""
-        region, regions = self._settings.region, self._members.regions()
-        is_nearest = any(self._members.region_next_to_store(r) == region for r in regions)
-        return len(regions) > 1 and not is_nearest
-
     def _is_relaying(self) -> bool:
         """Return whether this balancer follows another one in place of reading the store."""
         if self._is_failing():
@@ -492,7 +432,7 @@
 
     def _connect_to_candidates(self) -> None:
         """Connect to all candidates, so that the next failovers skip those that are down."""
-        for ip in self._candidates(self._is_failing()):
+        for ip in self._ranking.candidates(self._is_failing()):
             if ip != self._settings.ip and self._links.available(ip):
                 self._connect_tasks.append(asyncio.ensure_future(self._try_to_connect(ip)))
         self._connect_tasks = [task for task in self._connect_tasks if not task.done()]
@@ -510,19 +450,17 @@
         :param direct: whether to read the store.
         :param max_delay_s: longest time to wait for the turn, in seconds.
         """
-        if not self._reads_cross_regions():
+        if not self._ranking.reads_cross_regions:
             return True
-        ranks = self._rank(self._settings.region)
-        ahead = ranks[: ranks.index(self._settings.ip)]
-        rank = sum(1 for ip in ahead if self._links.available(ip))
-        delay_s = self._turn_delay_s(rank, direct)
+        delay_s = self._turn_delay_s(self._ranking.available_ahead(), direct)
         if not delay_s:
             return True
         stale_since = max(self._started_at, self._fresh_at + MAX_AGE_S)
         first_turn_at = stale_since + min(delay_s, max_delay_s)
         if not direct:
             return time.monotonic() >= first_turn_at
-        next_turn_at = self._yielded_at + min(self._turn_delay_s(len(ranks), direct), max_delay_s)
+        last_delay_s = self._turn_delay_s(len(self._ranking.local), direct)
+        next_turn_at = self._yielded_at + min(last_delay_s, max_delay_s)
         return time.monotonic() >= max(first_turn_at, next_turn_at)
 
     def _turn_delay_s(self, rank: int, direct: bool) -> float:
@@ -532,15 +470,14 @@
         """
         copies = [self._copies[table] for table in self._required_tables]
         table_bytes = sum(len(row.value) for copy in copies for row in copy.rows.values())
-        remote = self._members.region_next_to_store(self._settings.region) is not None
-        return readers.turn_delay_s(rank, max(table_bytes, MIN_TABLE_BYTES), remote, direct)
+        size = max(table_bytes, MIN_TABLE_BYTES)
+        return readers.turn_delay_s(rank, size, self._ranking.is_remote, direct)
 
     def _yield_turn(self) -> None:
         """Stop reading in vain, so that not all balancers read once the store responds again."""
-        if self._reader is None or not self._is_failing() or not self._reads_cross_regions():
+        if self._reader is None or not self._is_failing() or not self._ranking.reads_cross_regions:
             return
-        rank = self._rank(self._settings.region).index(self._settings.ip)
-        if self._turn_delay_s(rank, True):
+        if self._turn_delay_s(self._ranking.own_rank, True):
             self._yielded_at = time.monotonic()
             self._stop_reading()
 
@@ -589,7 +526,7 @@
 
     def _choose_reader(self, failing: bool) -> str:
         return readers.choose_reader(
-            self._candidates(failing),
+            self._ranking.candidates(failing),
             self._settings.ip,
             failing,
             self._stale_since,
@@ -598,8 +535,7 @@
 
     def _reader_next_to_store(self) -> str | None:
         """Return the balancer to follow in place of reading the store from a remote region."""
-        region = self._members.region_next_to_store(self._settings.region)
-        nearest = [] if region is None else self._rank(region)[: readers.REMOTE_COUNT]
+        nearest = self._ranking.next_to_store()
         usable = (ip for ip in nearest if ip not in self._stale_since and self._can_follow(ip))
         return next(usable, None)
 
@@ -611,25 +547,6 @@
         is_local = self._members.region_of(ip) == self._settings.region
         return is_local or self._is_own_turn(direct=False)
 
-    def _candidates(self, failing: bool) -> list[str]:
-        own_region = self._settings.region
-        near, remote = [], []
-        for region in sorted(self._members.regions() - {own_region}):
-            is_near = self._members.region_next_to_store(region) is None
-            (near if is_near else remote).append(self._rank(region))
-        local = self._rank(own_region)
-        return readers.list_candidates(self._settings.ip, local, near, remote, failing)
-
-    def _rank(self, region: str) -> list[str]:
-        """Return the balancers of a region in the order in which they may read the store."""
-        if self._ranks_revision != self._members.revision:
-            self._ranks_revision = self._members.revision
-            self._ranks.clear()
-        if region not in self._ranks:
-            eligible, all_members = self._members.eligible(region), self._members.in_region(region)
-            self._ranks[region] = readers.rank_balancers(region, eligible, all_members)
-        return self._ranks[region]
-
     def _reads_succeed(self) -> bool:
         """Return whether this balancer's own calls to the store succeed."""
         oldest = min(self._read_at.get(t, float("-inf")) for t in self._required_tables)
@@ -788,7 +705,7 @@
             table, previous_version, updates if changed else (), complete and changed
         )
 
-    def _mark_fresh(self, copy: _TableCopy, confirmed_at: float) -> None:
+    def _mark_fresh(self, copy: table_copy.TableCopy, confirmed_at: float) -> None:
         """Record that the store confirmed a copy, and detect the end of an outage.
 
         :param confirmed_at: monotonic time in seconds of the confirmation.
--- a/waxwingspool/fleet/tests/rate_model.py
+++ b/waxwingspool/fleet/tests/rate_model.py
@@ -6,14 +6,16 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 from collections.abc import Callable, Iterable
 from unittest import mock
 
 from standins import virtual
-from waxwingspool.catalog import node, upstreams
+from waxwingspool.catalog import upstreams
 from waxwingspool.dispatch import election, health, rates
 from waxwingspool.fleet import frames, link, members, slots
+from waxwingspool.fleet.tests import test_tables
 from waxwingspool.observe import eventlog
 
 __all__ = ["Fleet"]
@@ -109,21 +111,11 @@
         self.frozen_until = 0.0
         self.sent_bytes = 0
         self.transports: list[_Transport] = []
-        self.settings = node.NodeSettings(
-            name=ip,
-            ip=ip,
+        self.settings = dataclasses.replace(
+            test_tables.make_settings(ip),
             data_centre=f"{region}-1",
             region=region,
-            caller_address=(ip, 1),
-            readiness_address=(ip, 2),
-            link_mbps=100.0,
-            cores=1.0,
-            peer_port=3,
-            metrics_port=4,
-            store_address=("10.9.0.1", 5),
-            first_start=False,
             regions={"a-1": "a", "b-1": "b"},
-            bounds=node.Bounds(),
         )
 
     def start(self) -> None:
@@ -246,6 +238,28 @@
             if group_of[one] < group_of[other]
         }
 
+    def kill_dispatchers(self, seconds: float) -> None:
+        """Kill the dispatcher every three seconds, and start it again at the next kill."""
+
+        def kill() -> None:
+            for balancer in self.balancers.values():
+                if not balancer.running:
+                    balancer.start()
+            self.dispatcher().kill()
+
+        self.repeat(seconds, 3.0, kill)
+
+    def split(self, seconds: float) -> None:
+        """Cut the balancers into two halves."""
+        ranking = self.ranking()
+        self.part([ranking[0::2], ranking[1::2]])
+        self.loop.advance(seconds)
+
+    def isolate(self, seconds: float) -> None:
+        """Cut each balancer off from all others."""
+        self.part([balancer] for balancer in self.balancers.values())
+        self.loop.advance(seconds)
+
     def most_arrivals(self, id_: str, start: float, only_told: bool = False) -> int:
         """Return the most requests for an upstream in any window of :data:`WINDOW_S`.
 
--- a/waxwingspool/fleet/tests/test_rate_limits.py
+++ b/waxwingspool/fleet/tests/test_rate_limits.py
@@ -50,18 +50,13 @@
         fleet.loop.advance(WATCHED_S)
 
     def kill_dispatchers(self, fleet: rate_model.Fleet) -> None:
-        def kill() -> None:
-            for balancer in fleet.balancers.values():
-                if not balancer.running:
-                    balancer.start()
-            fleet.dispatcher().kill()
-
-        fleet.repeat(WATCHED_S, 3.0, kill)
+        fleet.kill_dispatchers(WATCHED_S)
 
     def split(self, fleet: rate_model.Fleet) -> None:
-        ranking = fleet.ranking()
-        fleet.part([ranking[0::2], ranking[1::2]])
-        fleet.loop.advance(WATCHED_S)
+        fleet.split(WATCHED_S)
+
+    def isolate(self, fleet: rate_model.Fleet) -> None:
+        fleet.isolate(WATCHED_S)
 
     def split_again_and_again(self, fleet: rate_model.Fleet) -> None:
         def change() -> None:
@@ -73,10 +68,6 @@
 
         fleet.repeat(WATCHED_S, 2.0, change)
 
-    def isolate(self, fleet: rate_model.Fleet) -> None:
-        fleet.part([balancer] for balancer in fleet.balancers.values())
-        fleet.loop.advance(WATCHED_S)
-
     def freeze_dispatcher(self, fleet: rate_model.Fleet) -> None:
         def freeze() -> None:
             fleet.ranking()[0].frozen_until = fleet.loop.time() + 2.0
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -11,7 +11,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
-from waxwingspool.fleet import clock, frames, link, members, tables
+from waxwingspool.fleet import clock, frames, link, members, table_copy, tables
 from waxwingspool.fleet import store as store_client
 from waxwingspool.platform import store
 
@@ -474,8 +474,8 @@
         remote = members.Member("r", "b-1", "b", 100.0, 1.0, 0.06)
         self.members.update("10.1.0.1", members.msgspec.json.encode(remote))
         self.assertTrue(self.tables._is_own_turn())
-        self.assertEqual("10.1.0.1", self.tables._candidates(True)[-1])
-        self.assertEqual("10.1.0.1", self.tables._candidates(False)[-1])
+        self.assertEqual("10.1.0.1", self.tables._ranking.candidates(True)[-1])
+        self.assertEqual("10.1.0.1", self.tables._ranking.candidates(False)[-1])
 
     def announce(self, peer: str, age_s: float) -> None:
         ages = {"op": (0, age_s), "servers": (0, age_s)}
@@ -555,7 +555,7 @@
     async def test_new_subscriber_is_sent_a_listing_if_deletions_are_not_known(self) -> None:
         self.receive("op", None, 4, ("config", 3, b"c"))
         self.assertIsNone(self.subscribe(3).after)
-        with mock.patch.object(tables, "MAX_DELETIONS", 1):
+        with mock.patch.object(table_copy, "MAX_DELETIONS", 1):
             self.receive("op", 4, 9, ("a", 6, None), ("b", 8, None))
         self.assertIsNone(self.subscribe(8).after)
         self.assertEqual(9, self.tables._copies["op"].deletions_since)
