--- a/waxwingspool/dispatch/shares.py
+++ b/waxwingspool/dispatch/shares.py
@@ -4,17 +4,20 @@
 slots of the same upstream. Each balancer near an upstream owns an equal share of its rate limit and
 lends it, with each request for a slot, to the dispatcher that it asks. A dispatcher spends only
 what is lent to it, and a share is lent to one dispatcher at a time. The shares in use thus never
-add up to more than the limit, whatever the balancers believe about who is the dispatcher, and no
-message is needed besides the requests for slots (cf. Gray and Cheriton, "Leases", 1989).
+add up to more than the limit, whatever the balancers believe about who is the dispatcher (cf. Gray
+and Cheriton, "Leases", 1989). A balancer that has nothing to send renews the loan while it knows of
+a limit.
 """
 
 import dataclasses
 from collections.abc import Collection
 
-__all__ = ["Lender", "Loans"]
+__all__ = ["RENEWAL_INTERVAL_S", "Lender", "Loans"]
 
 # Time in seconds for which a dispatcher may spend a share after a request of its owner.
 LEASE_S = 2.0
+# Interval at which a loan is renewed without a request, in seconds.
+RENEWAL_INTERVAL_S = LEASE_S / 2
 # Time in seconds after a request for a slot before its owner lends the share to another dispatcher.
 # It covers the lease and the time after which a request is given up and its link closed.
 LENDER_LEASE_S = LEASE_S + 1.0
@@ -50,6 +53,11 @@
         self._loans[service] = _Loan(dispatcher, now + LENDER_LEASE_S)
         return True
 
+    def borrower(self, service: str) -> str | None:
+        """Return the dispatcher that the share was lent to last, ``None`` if it never was."""
+        loan = self._loans.get(service)
+        return None if loan is None else loan.dispatcher
+
     def free_since(self, service: str) -> float:
         """Return the monotonic time in seconds from which no dispatcher may spend the share."""
         loan = self._loans.get(service)
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -228,6 +228,8 @@
                 self._slot_manager.receive_straggler(frame)
             case frames.RateLimit():
                 self._slot_manager.receive_rate_limit(peer_link, frame)
+            case frames.LendShare():
+                self._slot_manager.receive_loan(peer_link, frame)
 
     def _handle_disconnect(self, peer_link: link.Link) -> None:
         self._slot_manager.handle_lost_link(peer_link)
--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -20,6 +20,7 @@
     "HeldSlot",
     "Hello",
     "Leaving",
+    "LendShare",
     "RateLimit",
     "Refused",
     "Release",
@@ -198,6 +199,12 @@
     probe: bool
 
 
+class LendShare(msgspec.Struct, array_like=True, tag=14):
+    """Lends the sender's share of the rate limits of a service for some more time."""
+
+    service: str
+
+
 Frame = (
     Hello
     | Leaving
@@ -213,10 +220,20 @@
     | ListingRequest
     | Straggler
     | RateLimit
+    | LendShare
 )
 
 # Frames between a dispatcher and the balancers that request slots from it.
-SLOT_FRAMES = (SlotRequest, Granted, Refused, Release, HeldSlot, Straggler, RateLimit)
+SLOT_FRAMES = (
+    SlotRequest,
+    Granted,
+    Refused,
+    Release,
+    HeldSlot,
+    Straggler,
+    RateLimit,
+    LendShare,
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
--- a/waxwingspool/fleet/rate_limits.py
+++ b/waxwingspool/fleet/rate_limits.py
@@ -139,6 +139,12 @@
         """Lend this balancer's share to a dispatcher; return whether it may spend it now."""
         return self._lender.lend(service, dispatcher, time.monotonic())
 
+    def renewable_loans(self) -> list[tuple[str, str]]:
+        """Return the services with known limits, each with the dispatcher that has the share."""
+        limited = {u.service for u in self._upstreams.values() if self._limits.rate(u) is not None}
+        loans = ((service, self._lender.borrower(service)) for service in sorted(limited))
+        return [(service, borrower) for service, borrower in loans if borrower is not None]
+
     def end_loans(self, dispatcher: str) -> None:
         """Take back what was lent to a dispatcher that grants nothing any more."""
         self._lender.end_loans(dispatcher, time.monotonic())
--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -15,7 +15,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node, upstreams
-from waxwingspool.dispatch import election, health, rates, slots
+from waxwingspool.dispatch import election, health, rates, shares, slots
 from waxwingspool.fleet import frames, link, members, rate_limits
 from waxwingspool.observe import eventlog
 
@@ -418,6 +418,22 @@
         limits = {id_: self._limits.limits.rate(u) for id_, u in self._upstreams.items()}
         return {id_: rate for id_, rate in limits.items() if rate is not None}
 
+    def _renew_loans(self) -> None:
+        """Lend this balancer's shares to the dispatchers that have them for some more time."""
+        for service, borrower in self._limits.renewable_loans():
+            if borrower != self._elect_dispatcher(service, self._settings.region):
+                continue
+            peer_link = self._links.get(borrower)
+            if borrower == self._settings.ip:
+                self._lend_to_self(service)
+            elif peer_link is not None and self._limits.lend(service, borrower):
+                peer_link.send(frames.LendShare(service))
+
+    def receive_loan(self, peer_link: link.Link, frame: frames.LendShare) -> None:
+        """Record that a peer lends its share for some more time."""
+        if not self._leaving:
+            self._limits.record_loan(frame.service, peer_link.peer)
+
     def receive_rate_limit(self, peer_link: link.Link, frame: frames.RateLimit) -> None:
         """Record what a peer tells about the rate limit of an upstream."""
         self._limits.receive(peer_link, frame)
@@ -507,11 +523,14 @@
 
     async def run(self) -> None:
         """Decide on waiting requests, expire slots and log the state until cancelled."""
-        logged_at = broadcast_at = time.monotonic()
+        logged_at = broadcast_at = renewed_at = time.monotonic()
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             for service in self._regional:
                 self._poll(service)
+            if time.monotonic() - renewed_at > shares.RENEWAL_INTERVAL_S:
+                renewed_at = time.monotonic()
+                self._renew_loans()
             if time.monotonic() - broadcast_at > LIMIT_BROADCAST_INTERVAL_S:
                 broadcast_at = time.monotonic()
                 self._broadcast_limits()
--- a/waxwingspool/fleet/tests/rate_model.py
+++ b/waxwingspool/fleet/tests/rate_model.py
@@ -153,6 +153,8 @@
                 self.slot_manager.receive_held_slot(peer_link, frame)
             case frames.RateLimit():
                 self.slot_manager.receive_rate_limit(peer_link, frame)
+            case frames.LendShare():
+                self.slot_manager.receive_loan(peer_link, frame)
 
     def _handle_lost_link(self, peer_link: link.Link) -> None:
         if self.running:
--- a/waxwingspool/fleet/tests/test_rate_limits.py
+++ b/waxwingspool/fleet/tests/test_rate_limits.py
@@ -93,6 +93,14 @@
                     # The fastest of the rates is more than the slots of an upstream carry.
                     self.assertGreater(sent, 0.7 * min(rate, 12.0) * (fleet.loop.time() - 8.0) - 1)
 
+    def test_balancers_that_seldom_send_still_lend_their_shares(self) -> None:
+        fleet = self.check(139, self.watch, load=40.0)
+        fleet.loop.advance(10.0)
+        start, end = fleet.loop.time(), fleet.loop.time() + 20.0
+        fleet.loop.advance(20.0)
+        for id_ in LIMITED:
+            self.assertGreater(fleet.arrivals_between(id_, start, end), 0.8 * 20.0)
+
     def test_limits_are_kept_while_dispatchers_are_killed(self) -> None:
         self.check(12, self.kill_dispatchers)
 
