--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -444,9 +444,9 @@
 
     def _broadcast_limits(self) -> None:
         """Tell the balancers that request slots from this one which rate limits have changed."""
-        for frame in self._limits.take_changes():
-            for peer_link in self._requester_links.values():
-                peer_link.send(frame)
+        data = b"".join(frames.encode(frame) for frame in self._limits.take_changes())
+        for peer_link in self._requester_links.values() if data else ():
+            peer_link.send_encoded(data)
 
     # Granting slots
 
@@ -522,7 +522,11 @@
             self._decide_all_waiting()
 
     async def run(self) -> None:
-        """Decide on waiting requests, expire slots and log the state until cancelled."""
+        """Do what is due at intervals until cancelled.
+
+        Decides on waiting requests, expires slots, keeps peers informed of rate limits and logs the
+        state.
+        """
         logged_at = broadcast_at = renewed_at = time.monotonic()
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
