--- a/waxwingspool/dispatch/rates.py
+++ b/waxwingspool/dispatch/rates.py
@@ -120,6 +120,11 @@
     def __init__(self) -> None:
         self._limits: dict[str, RateLimit] = {}
 
+    @property
+    def empty(self) -> bool:
+        """Whether no upstream has named a limit."""
+        return not self._limits
+
     def record(self, upstream_id: str, started_ms: int, report: LimitReport) -> Change | None:
         """Record what a response of an upstream tells; return the change, ``None`` if none.
 
--- a/waxwingspool/dispatch/slots.py
+++ b/waxwingspool/dispatch/slots.py
@@ -550,6 +550,8 @@
 
         A hedge never gets any, because it only saves time.
         """
+        if self._rate_limits.empty:
+            return True
         if self._rate_limits.rate(upstream.upstream) is None:
             self._accounts.pop(upstream.upstream.id, None)
             return True
@@ -567,6 +569,8 @@
 
     def _all_limited(self, request: SlotRequest, now: float) -> bool:
         """Whether all healthy upstreams that a request may be sent to have rate limits."""
+        if self._rate_limits.empty:
+            return False
         usable = self._usable(request, now)
         return bool(usable) and all(self._rate_limits.rate(u.upstream) is not None for u in usable)
 
