--- a/waxwingspool/fleet/rate_limits.py
+++ b/waxwingspool/fleet/rate_limits.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Collection, Iterable
 
 from waxwingspool.catalog import node, upstreams
-from waxwingspool.dispatch import rates, shares
+from waxwingspool.dispatch import rates, shares, slots
 from waxwingspool.fleet import frames, link, members
 from waxwingspool.observe import counters, eventlog
 
@@ -163,11 +163,11 @@
         for loans in self._loans.values():
             loans.remove(owner)
 
-    def regional_share(self, service: str) -> "_LentShares":
+    def regional_share(self, service: str) -> slots.RateShare:
         """Return the part of the limits that the dispatcher of a region may spend."""
         return _LentShares(self._get_loans(service), self._get_owners)
 
-    def local_share(self, service: str) -> "_OwnShare":
+    def local_share(self, service: str) -> slots.RateShare:
         """Return the part of the limits that this balancer may spend without a dispatcher."""
         return _OwnShare(self._lender, service, self._settings.ip, self._get_owners)
 
