Send overdue calls to the store again, so that they don't outlive an outage

Cause: StoreClient has one response timeout for all calls. A call that was sent just before the store's return never gets a response, and it was waited for 0.9 + 4 s before the next one was sent, after a pause of up to 1.2 s.

Change: a call whose timeout has grown is sent again every second, and the first response counts; the timeout grows once for all calls that waited together; connecting has a timeout of its own that does not grow; after a failure a feed call does not ask the store to wait; connections that were idle when a call expired are not used again. The long timeout is kept, for a store that is slow.

Ruled out: a lower limit of the timeout alone. A store that takes longer for each response would never be read (test_store_that_responds_more_slowly_than_the_shortest_timeout_is_read).

--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -12,11 +12,16 @@
 __all__ = ["HistoryGone", "Reading", "StoreClient"]
 
 # Shortest and longest response timeout, in seconds, added to the time that the call asks the store
-# to wait. The timeout doubles whenever it expires, because the store may be slow, and halves with
-# each response; the minimum detects a dead connection in time. While a body arrives, it limits the
-# time without progress.
+# to wait. The timeout doubles when it expires, because the store may be slow, and halves with each
+# response; the minimum detects a dead connection in time. While a body arrives, it limits the time
+# without progress.
 MIN_RESPONSE_TIMEOUT_S = 0.5
 MAX_RESPONSE_TIMEOUT_S = 4.0
+# Interval in seconds at which an overdue request is sent again, so that the time until the first
+# response after an outage does not grow with the timeout.
+REPEAT_INTERVAL_S = 1.0
+# Connect timeout in seconds. It does not grow, since connecting takes no longer at a slow store.
+CONNECT_TIMEOUT_S = 1.0
 # Longest time for the body of a response, in seconds.
 MAX_TRANSFER_S = 10.0
 # Time in seconds that a write may queue at the store, because all balancers start and register
@@ -64,6 +69,8 @@
         ip, port = settings.store_address
         self._host = f"{ip}:{port}".encode()
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
+        # When the response timeout last changed.
+        self._timeout_changed_at = float("-inf")
         self._clock = clock.RemoteClock()
         self._received_at = float("-inf")
         self.calls = 0
@@ -147,8 +154,35 @@
         await self._call(b"POST", target, body, WRITE_QUEUE_TIMEOUT_S)
 
     async def _call(self, method: bytes, target: str, body: bytes, wait_s: float) -> bytes:
-        """Make one call and return the body of the response."""
+        """Make one call and return the body of the response.
+
+        Beyond the shortest timeout, the request is sent again at intervals and the first response
+        counts. The store may perform it more than once: writes are unconditional and always of the
+        same row.
+        """
+        if self._response_timeout_s <= REPEAT_INTERVAL_S:
+            return await self._send(method, target, body, wait_s)
+        attempts: list[asyncio.Task] = []
+        try:
+            while True:
+                if not attempts or not self.receiving:
+                    attempts.append(asyncio.create_task(self._send(method, target, body, wait_s)))
+                interval_s = REPEAT_INTERVAL_S if len(attempts) > 1 else wait_s + REPEAT_INTERVAL_S
+                done, _ = await asyncio.wait(
+                    attempts, timeout=interval_s, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done:
+                    return done.pop().result()
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+            # Retrieves the exceptions of those that have failed as well.
+            await asyncio.gather(*attempts, return_exceptions=True)
+
+    async def _send(self, method: bytes, target: str, body: bytes, wait_s: float) -> bytes:
+        """Send one request and return the body of the response."""
         self.calls += 1
+        sent_at = asyncio.get_running_loop().time()
         connection = None
         succeeded = False
         try:
@@ -157,7 +191,7 @@
                 result = await self._exchange(connection, method, target, body, timeout)
                 succeeded = True
         except TimeoutError as error:
-            self._response_timeout_s = min(MAX_RESPONSE_TIMEOUT_S, 2 * self._response_timeout_s)
+            self._handle_timeout(sent_at)
             raise exceptions.StoreUnavailable("the store did not respond in time") from error
         except (OSError, upstream.Broken) as error:
             raise exceptions.StoreUnavailable(f"{type(error).__name__}: {error}") from error
@@ -165,7 +199,7 @@
             if connection is not None and not succeeded:
                 connection.abort()
         status, data = result
-        self._response_timeout_s = max(MIN_RESPONSE_TIMEOUT_S, self._response_timeout_s / 2)
+        self._set_response_timeout(self._response_timeout_s / 2)
         if connection.finish():
             self._idle.append(connection)
         if status == _STATUS_GONE:
@@ -174,6 +208,24 @@
             raise exceptions.StoreUnavailable(f"the store responded with status {status}")
         return data
 
+    def _handle_timeout(self, sent_at: float) -> None:
+        """Extend the response timeout, once for all calls that were waiting together.
+
+        :param sent_at: event loop time in seconds at which the call was sent.
+        """
+        if sent_at >= self._timeout_changed_at:
+            self._set_response_timeout(2 * self._response_timeout_s)
+        # Connections of before may have been silenced for good as well.
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    def _set_response_timeout(self, timeout_s: float) -> None:
+        timeout_s = min(MAX_RESPONSE_TIMEOUT_S, max(MIN_RESPONSE_TIMEOUT_S, timeout_s))
+        if timeout_s != self._response_timeout_s:
+            self._response_timeout_s = timeout_s
+            self._timeout_changed_at = asyncio.get_running_loop().time()
+
     async def _get_connection(self) -> upstream.Connection:
         now = asyncio.get_running_loop().time()
         while self._idle:
@@ -187,7 +239,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         connection = await upstream.connect(
-            self._settings.store_address, self._settings.ip, self._response_timeout_s, None
+            self._settings.store_address, self._settings.ip, CONNECT_TIMEOUT_S, None
         )
         elapsed_s = loop.time() - started_at
         self.rtt_s = elapsed_s if self.rtt_s is None else min(self.rtt_s, elapsed_s)
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -651,6 +651,8 @@
             except exceptions.StoreUnavailable as error:
                 failures += 1
                 self._failed_calls[table] = failures
+                # The next call confirms the rows as soon as the store responds again.
+                wait_s = 0.0
                 if failures == 1:
                     eventlog.event("store.lost", table=table, error=error, age_s=self.age_s)
                 await asyncio.sleep(self._retry_delay_s(failures))
--- a/waxwingspool/fleet/tests/model.py
+++ b/waxwingspool/fleet/tests/model.py
@@ -170,8 +170,7 @@
         pass
 
     async def read_response(self) -> upstream.Response:
-        if self._owner.store_silent or self._owner.cut:
-            await asyncio.Event().wait()
+        await self._check_path()
         url = urllib.parse.urlsplit(self._target)
         query = dict(urllib.parse.parse_qsl(url.query))
         await asyncio.sleep(STORE_DELAY_S)
@@ -181,6 +180,8 @@
             if self._region.loop.time() >= ends_at:
                 break
             await asyncio.sleep(0.02)
+        await asyncio.sleep(self._region.store_delay_s)
+        await self._check_path()
         data = self._region.encode_page(query["table"], after)
         await asyncio.sleep(STORE_DELAY_S)
         if self._owner.store_refuses:
@@ -202,6 +203,11 @@
 
         return upstream.Response(200, b"", [], stream)
 
+    async def _check_path(self) -> None:
+        """Wait forever if the request or the response is lost."""
+        if self._owner.store_silent or self._owner.cut:
+            await asyncio.Event().wait()
+
     def finish(self) -> bool:
         return True
 
@@ -298,6 +304,7 @@
     :param remote: number of balancers in region ``b``.
     :ivar readers: the balancers of region ``a`` that may be readers, in order of their rank.
     :ivar region_link: the link into region ``a``.
+    :ivar store_delay_s: time in seconds that the store takes for a call, besides the way.
     :ivar encoded: bytes that were encoded since the last write.
     """
 
@@ -313,6 +320,7 @@
         self.region_link = _Pipe(self.loop, region_mbps)
         self.loop.create_connection = self._connect
         self.version = self.store_calls = self.encoded = 0
+        self.store_delay_s = 0.0
         self.rows: dict[str, dict[str, store.Row]] = {"op": {}, "servers": {}, members.TABLE: {}}
         # Version, table and time of each change.
         self._put_at: list[tuple[int, str, float]] = []
--- /dev/null
+++ b/waxwingspool/fleet/tests/test_store_return.py
@@ -0,0 +1,75 @@
+"""The way back from an outage of the store, on virtual time."""
+
+import unittest
+from collections.abc import Callable, Iterator
+
+from waxwingspool.catalog import node
+from waxwingspool.fleet.tests import model
+
+# Time in seconds after the end of an outage from which the bounds of calm balancers hold again.
+STABILITY_WINDOW_S = 4.0
+# Durations of outages in seconds; they end at different moments of calls and delays.
+OUTAGES_S = [2.0 + 0.7 * step for step in range(12)]
+# Times in seconds from the end of an outage to the next configuration.
+ACCEPTED_AFTER_S = 0.1, 1.5
+
+
+def _silence(balancer: model.Balancer, active: bool) -> None:
+    balancer.store_silent = active
+
+
+def _refuse(balancer: model.Balancer, active: bool) -> None:
+    balancer.store_refuses = active
+
+
+class StoreReturnTest(unittest.TestCase):
+    def start(self, **sizes: float) -> model.Region:
+        region = model.Region(routes=20, **sizes)
+        self.addCleanup(region.close)
+        return region
+
+    def check_in_force_in_time(
+        self, fail: Callable[[model.Balancer, bool], None], **sizes: float
+    ) -> None:
+        """Check when balancers have a configuration that is accepted after an outage."""
+        region = self.start(**sizes)
+        routes = 20
+        for outage_s, accepted_after_s in _each_case():
+            with self.subTest(outage_s=outage_s, accepted_after_s=accepted_after_s, **sizes):
+                for balancer in region.balancers.values():
+                    fail(balancer, True)
+                region.loop.advance(outage_s)
+                for balancer in region.balancers.values():
+                    fail(balancer, False)
+                region.loop.advance(accepted_after_s)
+                bound_s = node.Bounds().config_apply_s
+                bound_s = max(bound_s, STABILITY_WINDOW_S - accepted_after_s)
+                routes += 1
+                self.assertLess(region.apply_configuration(routes, 10.0), bound_s)
+
+    def test_configuration_after_a_silent_store_returned_is_in_force_in_time(self) -> None:
+        # Guards against calls without a response that outlive the outage by seconds.
+        for readers in (1, 2, 3, 12):
+            self.check_in_force_in_time(_silence, readers=readers, others=0)
+
+    def test_configuration_after_a_refusing_store_returned_is_in_force_in_time(self) -> None:
+        # Guards against pauses between failed calls that grow with the outage.
+        for readers in (1, 2, 3, 12):
+            self.check_in_force_in_time(_refuse, readers=readers, others=0)
+
+    def test_configuration_after_an_outage_is_in_force_in_time_in_a_remote_region(self) -> None:
+        # Guards against the same behind balancers of another region.
+        for readers in (1, 2, 6):
+            self.check_in_force_in_time(_silence, readers=readers, others=0, remote=readers)
+
+    def test_store_that_responds_more_slowly_than_the_shortest_timeout_is_read(self) -> None:
+        # Guards against timeouts that never suffice for a slow store.
+        region = self.start(readers=2, others=0)
+        region.store_delay_s = 2.0
+        self.assertLess(region.apply_configuration(21, 20.0), float("inf"))
+
+
+def _each_case() -> Iterator[tuple[float, float]]:
+    for outage_s in OUTAGES_S:
+        for accepted_after_s in ACCEPTED_AFTER_S:
+            yield outage_s, accepted_after_s
