Order reports of an upstream by start and number, so that a late one changes nothing

Cause: rows were ordered by the store's version alone. The store applies writes as they arrive, so a heartbeat that a partition had held up, sent before the report of draining and delivered 3 s after it, got the higher version and replaced it, until the next heartbeat repeated it. The number that upstreams give their reports was not decoded.

Why there: in the registry of one balancer the rule would not reach what is relayed; a balancer that missed the report of draining during a failover would be told only the late row.

--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -61,6 +61,7 @@
             view.TABLES,
             self._view.update,
             self._view.record_store_recovery,
+            view.POSITION_READERS,
         )
         self._forwarder = forward.Forwarder(
             self._view,
--- a/waxwingspool/edge/view.py
+++ b/waxwingspool/edge/view.py
@@ -9,10 +9,12 @@
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import configuration, registration, store
 
-__all__ = ["TABLES", "View"]
+__all__ = ["POSITION_READERS", "TABLES", "View"]
 
 # Store tables whose rows must be fresh; rows of the members' table may be older.
 TABLES = (configuration.TABLE, registration.TABLE)
+# Tables whose rows are ordered by their writers.
+POSITION_READERS = {registration.TABLE: registration.read_position}
 
 
 class View:
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -15,12 +15,12 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node
 from waxwingspool.dispatch import readers
-from waxwingspool.fleet import frames, link, members, reader_ranking, table_copy
+from waxwingspool.fleet import frames, link, members, reader_ranking, row_order, table_copy
 from waxwingspool.fleet import store as store_client
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import store
@@ -123,6 +123,8 @@
     :param required_tables: tables that must be fresh; the members' table is followed in addition.
     :param on_rows: called with new rows.
     :param on_recovery: called when the store responds again after an outage.
+    :param position_readers: for the tables whose writers report on themselves, see
+        :mod:`waxwingspool.fleet.row_order`.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         required_tables: tuple[str, ...],
         on_rows: OnRows,
         on_recovery: Callable[[], None],
+        position_readers: Mapping[str, row_order.ReadPosition],
     ) -> None:
         self._settings = settings
         self._client = client
@@ -145,6 +148,10 @@
         self._copies = {
             table: table_copy.TableCopy() for table in (*required_tables, members.TABLE)
         }
+        self._orders = {
+            table: row_order.RowOrder(table, read_position, time.monotonic)
+            for table, read_position in position_readers.items()
+        }
         self._subscribers: set[link.Link] = set()
         # Peers that gave up this balancer as reader, and whether it had no fresh rows then.
         self._former_subscribers: set[link.Link] = set()
@@ -695,9 +702,10 @@
         :param confirmed_at: monotonic time in seconds at which the store confirmed the version.
         """
         copy = self._copies[table]
-        rows, version = page.rows, page.version
+        version = page.version
         if version < copy.version:
             return
+        rows = self._order_rows(table, page.rows)
         self._mark_fresh(copy, confirmed_at)
         previous_version = copy.version
         if complete:
@@ -716,6 +724,11 @@
             table, previous_version, updates if changed else (), complete and changed
         )
 
+    def _order_rows(self, table: str, rows: Iterable[store.Row]) -> Iterable[store.Row]:
+        """Return rows with those replaced that are older than what their writer reported last."""
+        order = self._orders.get(table)
+        return rows if order is None else order.replace_late(rows, self._copies[table].rows)
+
     def _mark_fresh(self, copy: table_copy.TableCopy, confirmed_at: float) -> None:
         """Record that the store confirmed a copy, and detect the end of an outage.
 
--- a/waxwingspool/fleet/tests/model.py
+++ b/waxwingspool/fleet/tests/model.py
@@ -275,6 +275,7 @@
             TABLES,
             lambda update: self._apply(membership, update.table, update.rows),
             mock.Mock(),
+            {},
         )
         self._task = self._region.loop.create_task(self.tables.run())
 
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -93,6 +93,7 @@
             ("op", "servers"),
             self.on_rows,
             self.on_recovery,
+            {},
         )
 
     def rank(self, *others: str) -> None:
--- a/waxwingspool/platform/registration.py
+++ b/waxwingspool/platform/registration.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from waxwingspool.catalog import upstreams
+from waxwingspool.catalog import node, upstreams
 from waxwingspool.platform import settings
 
-__all__ = ["TABLE", "decode"]
+__all__ = ["TABLE", "decode", "read_position"]
 
 # Store table with one row for each upstream; the key is the upstream's id.
 TABLE = "servers"
@@ -20,6 +20,9 @@
 # Latest start, as Unix time in milliseconds.
 MAX_STARTED_MS = 10**15
 
+# Highest number of a report.
+MAX_NUMBER = 2**63 - 1
+
 # An id is sent as the value of a header.
 _ID = re.compile(r"[!-~]{1,200}")
 _READY = "ready"
@@ -34,11 +37,24 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     warmup_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARMUP_MS)] = 0
     born: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = 0
+    # Number of the report, which starts anew with each start of the upstream.
+    seq: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)] | None = None
 
 
 _decoder = msgspec.json.Decoder(_Entry)
 
 
+def read_position(value: bytes) -> tuple[int, int] | None:
+    """Return start and number of the report in a row.
+
+    :returns: ``None`` if the row does not describe a valid upstream, or does not tell both.
+    """
+    parsed = _parse(value)
+    if parsed is None or not parsed[0].born or parsed[0].seq is None:
+        return None
+    return parsed[0].born, parsed[0].seq
+
+
 def decode(id_: str, value: bytes, row_version: int, now: float) -> upstreams.Upstream | None:
     """Return the upstream that a row describes.
 
@@ -47,14 +63,10 @@
     :returns: the upstream, ``None`` if the row does not describe a valid one; programs other than
         upstreams can write to the table too.
     """
-    try:
-        entry = _decoder.decode(value)
-        address = settings.parse_address(entry.address)
-    except (msgspec.DecodeError, ValueError, RecursionError):
-        # Unknown fields are skipped, but the decoder limits the depth of nested values.
-        return None
-    if entry.state not in (_READY, _DRAINING) or not _ID.fullmatch(id_):
+    parsed = _parse(value)
+    if parsed is None or not _ID.fullmatch(id_):
         return None
+    entry, address = parsed
     return upstreams.Upstream(
         id=id_,
         service=entry.service,
@@ -66,3 +78,14 @@
         started_ms=entry.born,
         row_version=row_version,
     )
+
+
+def _parse(value: bytes) -> tuple[_Entry, node.Address] | None:
+    """Return an entry and its address, ``None`` if it is not valid."""
+    try:
+        entry = _decoder.decode(value)
+        address = settings.parse_address(entry.address)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        # Unknown fields are skipped, but the decoder limits the depth of nested values.
+        return None
+    return (entry, address) if entry.state in (_READY, _DRAINING) else None
--- a/waxwingspool/platform/tests/test_odd_entries.py
+++ b/waxwingspool/platform/tests/test_odd_entries.py
@@ -92,6 +92,7 @@
             view.TABLES,
             self.view.update,
             mock.Mock(),
+            view.POSITION_READERS,
         )
         patcher = mock.patch.object(view.eventlog, "event")
         self.event = patcher.start()
