Order the rows of balancers by their starts, so that a late one hides no replacement

A replacement VM has the name of the VM that it replaces, and whichever row came in last won. If the registration of the replaced VM was performed late, or has the higher address in a listing, the replacement vanished from the members of all others until it started again: it took itself for a dispatcher and reader that nobody asked.

Change: a balancer registers with the time of its start. Rows of one address are ordered by it with the rule of fleet/row_order.py; of two VMs with one name the one that started later counts, in any order of arrival. A start that is not known (0, rows of earlier versions) is ordered by arrival as before. The other rows: configurations are ordered by their version (edge/view.py); leases, shares and limits of the deployed role are no rows but frames on one connection each, which can't overtake each other.

test_late_row_of_a_replaced_vm_does_not_hide_its_replacement (3 of 6 cases) and test_late_row_of_a_vm_that_this_balancer_replaces_is_ignored fail without the comparison.

--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -44,7 +44,8 @@
 
     def __init__(self, node_settings: node.NodeSettings) -> None:
         self._settings = node_settings
-        self._members = members.Members(node_settings)
+        self._started_ms = round(time.time() * 1000)
+        self._members = members.Members(node_settings, self._started_ms)
         self._links = link.Links(node_settings, self._handle_frame, self._handle_disconnect)
         self._slot_manager = slots.SlotManager(node_settings, self._members, self._links)
         self._pool = pool.Pool(node_settings.ip, headers.HEADER_NAMES.request_id)
@@ -175,7 +176,7 @@
         while True:
             try:
                 await self._client.measure_rtt()
-                row = members.encode(self._settings, self._client.rtt_s)
+                row = members.encode(self._settings, self._client.rtt_s, self._started_ms)
                 await self._client.put(members.TABLE, self._settings.ip, row)
                 eventlog.event(
                     "member.registered", ip=self._settings.ip, store_rtt_s=self._client.rtt_s
--- a/waxwingspool/edge/view.py
+++ b/waxwingspool/edge/view.py
@@ -14,7 +14,10 @@
 # Store tables whose rows must be fresh; rows of the members' table may be older.
 TABLES = (configuration.TABLE, registration.TABLE)
 # Tables whose rows are ordered by their writers.
-POSITION_READERS = {registration.TABLE: registration.read_position}
+POSITION_READERS = {
+    registration.TABLE: registration.read_position,
+    members.TABLE: members.read_position,
+}
 
 
 class View:
--- a/waxwingspool/fleet/members.py
+++ b/waxwingspool/fleet/members.py
@@ -18,7 +18,7 @@
 # largest number of processor cores there, of which at most one counts.
 MIN_RELATIVE_CAPACITY = 0.5
 
-__all__ = ["TABLE", "Member", "Members", "encode"]
+__all__ = ["TABLE", "Member", "Members", "encode", "own_member", "read_position"]
 
 # Table of the store that lists the balancers; the key of a row is the balancer's IP address.
 TABLE = "balancers"
@@ -30,6 +30,7 @@
     :ivar link_mbps: bandwidth of its link in megabits per second.
     :ivar cores: processor cores that it may use.
     :ivar store_rtt_s: round-trip time to the store in seconds, ``None`` if it is not known.
+    :ivar started_ms: Unix time of its start in milliseconds, 0 if unknown.
     """
 
     name: str
@@ -38,20 +39,26 @@
     link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1e9)] = 1000.0
     cores: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 1.0
     store_rtt_s: Annotated[float, msgspec.Meta(ge=0, le=3600)] | None = None
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=10**15)] = 0
 
 
 _decoder = msgspec.json.Decoder(Member)
 
 
-def encode(settings: node.NodeSettings, store_rtt_s: float | None = None) -> bytes:
+def encode(
+    settings: node.NodeSettings, store_rtt_s: float | None = None, started_ms: int = 0
+) -> bytes:
     """Return the encoded row of this balancer.
 
     :param store_rtt_s: see :class:`Member`.
+    :param started_ms: see :class:`Member`.
     """
-    return msgspec.json.encode(own_member(settings, store_rtt_s))
+    return msgspec.json.encode(own_member(settings, store_rtt_s, started_ms))
 
 
-def own_member(settings: node.NodeSettings, store_rtt_s: float | None = None) -> Member:
+def own_member(
+    settings: node.NodeSettings, store_rtt_s: float | None = None, started_ms: int = 0
+) -> Member:
     """Return this balancer as a member."""
     return Member(
         settings.name,
@@ -60,19 +67,33 @@
         settings.link_mbps,
         settings.cores,
         store_rtt_s,
+        started_ms,
     )
 
 
+def read_position(value: bytes) -> tuple[int, int] | None:
+    """Return the place of a row in the order of its writer's rows, ``None`` if it is unknown.
+
+    A balancer registers once in each start.
+    """
+    try:
+        member = _decoder.decode(value)
+    except (msgspec.DecodeError, RecursionError):
+        return None
+    return (member.started_ms, 0) if member.started_ms else None
+
+
 class Members:
     """All known balancers, by IP address.
 
     :param settings: settings of this balancer, which is always a member.
+    :param started_ms: Unix time of its start in milliseconds, 0 if unknown.
     """
 
-    def __init__(self, settings: node.NodeSettings) -> None:
+    def __init__(self, settings: node.NodeSettings, started_ms: int = 0) -> None:
         self._own_ip = settings.ip
         self._revision = 0
-        self._members = {settings.ip: own_member(settings)}
+        self._members = {settings.ip: own_member(settings, started_ms=started_ms)}
         self._store_rtts_s: dict[str, float] = {}
         self._rtts_revision = -1
 
@@ -154,9 +175,23 @@
             member = _decoder.decode(value)
         except (msgspec.DecodeError, ValueError, RecursionError):
             return False
-        for other, existing in list(self._members.items()):
-            # A replacement VM has the name of the VM that it replaces.
-            if existing.name == member.name and other not in (ip, self._own_ip):
+        # A replacement VM has the name of the VM that it replaces.
+        namesakes = [
+            other
+            for other, existing in self._members.items()
+            if existing.name == member.name and other != ip
+        ]
+        newer = {other for other in namesakes if _started_after(self._members[other], member)}
+        if newer and ip != self._own_ip:
+            self._members.pop(ip, None)
+            return True
+        for other in namesakes:
+            if other != self._own_ip and other not in newer:
                 del self._members[other]
         self._members[ip] = member
         return True
+
+
+def _started_after(member: Member, other: Member) -> bool:
+    """Return whether a member started after another one, as far as both starts are known."""
+    return bool(other.started_ms) and member.started_ms > other.started_ms
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -612,3 +612,39 @@
         membership.update("10.0.0.3", encoded)
         membership.update("10.0.0.9", encoded)
         self.assertNotIn("10.0.0.3", membership.in_region("a"))
+
+    def test_late_row_of_a_replaced_vm_does_not_hide_its_replacement(self) -> None:
+        # Guards against a registration that was held up, and against the order of a listing.
+        old, new = (
+            members.encode(make_settings(), started_ms=started_ms) for started_ms in (1000, 2000)
+        )
+        for rows in (
+            [("10.0.0.3", new), ("10.0.0.9", old)],
+            [("10.0.0.3", old), ("10.0.0.9", new)],
+        ):
+            for order in (rows, rows[::-1], rows * 2):
+                with self.subTest(order):
+                    membership = members.Members(make_settings("10.0.0.7"))
+                    for ip, value in order:
+                        membership.update(ip, value)
+                    expected = {"10.0.0.7", next(ip for ip, value in rows if value == new)}
+                    self.assertEqual(expected, set(membership.in_region("a")))
+
+    def test_late_row_of_a_vm_that_this_balancer_replaces_is_ignored(self) -> None:
+        own = make_settings()
+        membership = members.Members(own, started_ms=2000)
+        membership.update("10.0.0.9", members.encode(own, started_ms=1000))
+        self.assertEqual([OWN_IP], membership.addresses())
+
+    def test_rows_of_one_balancer_are_ordered_by_its_starts(self) -> None:
+        row_value = members.encode(make_settings(), started_ms=2000)
+        self.assertEqual((2000, 0), members.read_position(row_value))
+        for value in (members.encode(make_settings()), b"", b"[1]", b"\xff"):
+            self.assertIsNone(members.read_position(value))
+
+    def test_balancer_that_is_replaced_while_it_runs_stays_a_member_for_itself(self) -> None:
+        own = make_settings()
+        membership = members.Members(own, started_ms=1000)
+        membership.update("10.0.0.9", members.encode(own, started_ms=2000))
+        membership.update(OWN_IP, members.encode(own, started_ms=1000))
+        self.assertEqual({OWN_IP, "10.0.0.9"}, set(membership.addresses()))
