Take a response whose status is outside 100 to 599 for no response

Here 000, 001 and 099 counted as interim responses, so the request was held until its deadline; 600 and 999 reached the caller as a response. RFC 9110, section 15, defines no such status.

Change: such a response to the current request is malformed: the connection is reset, a request that may be repeated goes to another upstream, any other one gets 502 at once; a mark that it was not run doesn't count. Late responses to other requests are skipped whatever their status, and a connection that skipped one is not reused, also if its status is below 100.

test_status_outside_of_the_defined_classes_is_no_response failed before (000 to 099 never ended the exchange, 600 and 999 were returned), as did test_response_with_an_invalid_status_is_answered_at_once from caller to upstream in its four cases and test_invalid_status_of_a_late_response_is_skipped.

--- a/waxwingspool/proxy/tests/test_endless.py
+++ b/waxwingspool/proxy/tests/test_endless.py
@@ -184,6 +184,16 @@
         self.assertTrue(response.startswith(b"HTTP/1.1 502 "), response)
         self.assert_cut_off(0.0)
 
+    def test_response_with_an_invalid_status_is_answered_at_once(self) -> None:
+        for status in (0, 99, 600, 999):
+            with self.subTest(status):
+                odd = Script(SOUND.replace(b" 200 OK", b" %03d Odd" % status))
+                self.assertTrue(self.request(odd, Script(SOUND)).endswith(b"whole"))
+                self.assert_cut_off(0.0)
+                response = self.request(odd, kind=routes.Kind.NON_IDEMPOTENT)
+                self.assertTrue(response.startswith(b"HTTP/1.1 502 "), response)
+                self.assert_cut_off(0.0)
+
     def test_refusal_without_end_is_no_refusal(self) -> None:
         head = b"HTTP/1.1 503 Busy\r\nX-Request-Id: r1\r\nX-Not-Executed: 1\r\n\r\n"
         for piece in (b"x", KIBIBYTE * 64):
--- a/waxwingspool/proxy/tests/test_upstream.py
+++ b/waxwingspool/proxy/tests/test_upstream.py
@@ -209,6 +209,30 @@
         with self.assertRaises(upstream.Broken):
             await connection.read_response()
 
+    async def test_status_outside_of_the_defined_classes_is_no_response(self) -> None:
+        # Guards against an upstream in trouble whose invalid status reaches the caller.
+        for status in (0, 1, 99, 600, 999):
+            connection = self.start_exchange()
+            connection.data_received(
+                b"HTTP/1.1 %03d Odd\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n" % status
+            )
+            reading = asyncio.ensure_future(connection.read_response())
+            self.addCleanup(reading.cancel)
+            for _ in range(3):
+                await asyncio.sleep(0)
+            with self.subTest(status), self.assertRaises(upstream.Broken) as caught:
+                reading.result()
+            self.assertEqual(caught.exception.failure, upstream.ExchangeFailure.MALFORMED)
+            self.assertFalse(connection.usable)
+
+    async def test_invalid_status_of_a_late_response_is_skipped(self) -> None:
+        connection = self.start_exchange(b"two")
+        late = b"HTTP/1.1 000 Odd\r\nX-Id: one\r\nContent-Length: 0\r\n\r\n"
+        connection.data_received(late + response_bytes(b"two", b"own"))
+        response = await connection.read_response()
+        self.assertEqual(response.body.read_available(), b"own")
+        self.assertFalse(connection.finish())
+
     async def test_switch_of_protocols_raises_broken(self) -> None:
         connection = self.start_exchange()
         head = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: a\r\n\r\n"
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -17,6 +17,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Bytes of chunk framing that each byte of body data allows for.
 MAX_FRAMING_PER_BODY_BYTE = 16
+# Range of valid status codes (RFC 9110, section 15), and the first one that is not interim.
+MIN_STATUS, FINAL_STATUS, MAX_STATUS = 100, 200, 599
 # Bytes of responses to other requests that are skipped in one exchange, without their heads.
 MAX_SKIPPED_BYTES = 1024 * 1024
 
@@ -183,9 +185,13 @@
     def on_headers_complete(self) -> None:
         self._in_head = False
         status = self._parser.get_status_code()
-        self._skipping = status < 200 or self._has_other_request_id()
+        self._skipping = _is_interim(status) or self._has_other_request_id()
         if self._skipping or self._response is not None:
             return
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._fail(ExchangeFailure.MALFORMED, f"status {status:03}")
+            self._invalidate()
+            return
         transport = self._transport
         stream = body.Body(transport.pause_reading, transport.resume_reading)
         self._response = Response(status, self._reason, self._headers, stream)
@@ -206,7 +212,7 @@
     def on_message_complete(self) -> None:
         if self._skipping:
             self._skipping = False
-            self._reusable = self._parser.get_status_code() < 200 and self._reusable
+            self._reusable = _is_interim(self._parser.get_status_code()) and self._reusable
             return
         if self._response is not None and not self._response.body.complete:
             self._complete()
@@ -302,6 +308,11 @@
             self._drain_waiter.set_result(None)
 
 
+def _is_interim(status: int) -> bool:
+    """Return whether a response with a status code is followed by the final one."""
+    return MIN_STATUS <= status < FINAL_STATUS
+
+
 def _parse_keep_alive_s(value: bytes | None) -> float | None:
     """Return the idle timeout in a ``Keep-Alive`` header in seconds, ``None`` if there is none.
 
