Don't take a reset, or an odd status, for a complete response in the product's own role

In the role that `waxwingspool run` starts, the client of upstreams took a connection that was reset for the end of a body without a length: the caller got the part that had arrived as a complete 200, with and without an upload under way. The library tells of the reset only in the connection's protocol. A response with status 000, 099, 600 or 999 was returned as a response, or as not run if it was marked so.

Change: after a body that ends with its connection, the error with which the connection ended, if any, makes the outcome unknown; so does a status outside 100 to 599.

--- a/waxwingspool/interfaces/tests/test_upstream.py
+++ b/waxwingspool/interfaces/tests/test_upstream.py
@@ -1,6 +1,8 @@
 """Tests of the client for upstreams, against a local server with injected faults."""
 
 import asyncio
+import socket
+import struct
 import unittest
 
 from aiohttp import web
@@ -44,6 +46,55 @@
         self.assertEqual(upstream.Load(2, 1, False, "ab"), result.load)
         self.assertNotIn("waxwing-load", [k.lower() for k, _ in result.headers])
 
+    async def send_to_socket(
+        self, response: bytes, resets: bool, body: bytes = b""
+    ) -> upstream.Result:
+        """Send a request to a server that sends some bytes and ends the connection."""
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(response)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if resets:
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1")
+        self.addCleanup(server.close)
+        client = upstream.http_upstream_client(None)
+        self.addAsyncCleanup(client.close)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        request = upstream.Request("POST", "/x", (), body)
+        return await client.send(address, request, ATTEMPT, 5.0)
+
+    async def test_part_of_a_response_without_a_length_is_indeterminate_after_a_reset(self):
+        # Guards against a part of a response that is delivered as the whole.
+        response = b"HTTP/1.1 200 OK\r\nWaxwing-Attempt: a1\r\n\r\npart"
+        for body in (b"", b"u" * 1_000_000):
+            with self.subTest(body_bytes=len(body)):
+                result = await self.send_to_socket(response, True, body)
+                self.assertIsInstance(result, upstream.Indeterminate)
+
+    async def test_response_without_a_length_is_complete_once_the_connection_ends(self):
+        response = b"HTTP/1.1 200 OK\r\nWaxwing-Attempt: a1\r\n\r\nwhole"
+        self.assertEqual(b"whole", (await self.send_to_socket(response, False)).body)
+
+    async def test_response_with_a_length_is_complete_although_a_reset_follows(self):
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+        self.assertEqual(b"whole", (await self.send_to_socket(response, True)).body)
+
+    async def test_status_outside_of_the_defined_classes_is_indeterminate(self):
+        # Guards against an upstream in trouble whose invalid status reaches the caller.
+        for status in (b"000", b"099", b"600", b"999"):
+            head = b"HTTP/1.1 %b Odd\r\nWaxwing-Not-Started: 1\r\nContent-Length: 0\r\n\r\n"
+            with self.subTest(status):
+                result = await self.send_to_socket(head % status, False)
+                self.assertIsInstance(result, upstream.Indeterminate)
+
     async def test_headers_are_forwarded_except_hop_by_hop_headers(self):
         async def handler(request):
             return web.json_response(dict(request.headers))
--- a/waxwingspool/interfaces/upstream.py
+++ b/waxwingspool/interfaces/upstream.py
@@ -38,6 +38,8 @@
 
 # Maximum size of a response body, which is buffered completely before it is forwarded, in bytes.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Range of valid status codes (RFC 9110, section 15).
+MIN_STATUS, MAX_STATUS = 100, 599
 # Time limit for connecting, and for a cancellation or a probe, in seconds.
 CONNECT_TIMEOUT_S = 1.0
 # Idle time after which a connection is closed, in seconds. It is shorter than the keep-alive time
@@ -283,7 +285,16 @@
             data=request.body or None,
             allow_redirects=False,
         ) as response:
+            connection = response.connection
+            protocol = None if connection is None else connection.protocol
             body = await _read_body(response)
+            # The library takes a reset for the end of a body that ends with its connection.
+            if protocol is not None and not _is_framed(response):
+                error = protocol.exception()
+                if isinstance(error, OSError):
+                    raise error
+        if not MIN_STATUS <= response.status <= MAX_STATUS:
+            return Indeterminate(f"{address} answered with status {response.status:03}")
         load = parse_load(response.headers.get("Waxwing-Load"))
         echo = response.headers.get("Waxwing-Attempt")
         if echo is not None and echo != attempt.id:
@@ -296,6 +307,11 @@
         return Response(response.status, forwarded, body, load)
 
 
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the end of a body is known without the connection being closed."""
+    return response.content_length is not None or "Transfer-Encoding" in response.headers
+
+
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
     """Return the complete body of a response.
 
