Bound the rows of the store's responses, since small rows take many times their size

Responses were bounded in bytes, at 16 MB, and listings at 32 MB. A response of 16 MB in rows of 20 bytes takes 221 MB once it is decoded (in a process of 22 MB before, measured), more than a VM of 200 MB has.

Change: a response of over 50,000 rows is not decoded, and a listing of over 50,000 rows is given up; both count as an outage of the store. A table of 7,100 upstreams is a seventh of that.

test_endless_listing_of_small_rows_is_cut_off failed before (it ended at 32 MB); test_response_of_too_many_rows_is_not_decoded is new with the bound.

--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -113,6 +113,8 @@
                 raise exceptions.StoreUnavailable(f"a listing has over {MAX_LISTING_BYTES} bytes")
             page = store.decode_page(data)
             rows += page.rows
+            if len(rows) > store.MAX_ROWS:
+                raise exceptions.StoreUnavailable(f"a listing has over {store.MAX_ROWS} rows")
             # Later pages may be newer, so the feed continues from the version of the first.
             first = first or self._to_reading(page, sent_at)
             if not page.has_more or not page.rows:
--- a/waxwingspool/fleet/tests/test_endless.py
+++ b/waxwingspool/fleet/tests/test_endless.py
@@ -56,6 +56,16 @@
         self.assertIn(f"over {32 * len(MEBIBYTE)} bytes", self.get_listing())
         self.assertEqual(len(self.transports), 32)
 
+    def test_endless_listing_of_small_rows_is_cut_off(self) -> None:
+        # Guards against rows that take many times the memory of the bytes that were received.
+        count = 25_000
+        rows = b",".join([b'{"key":"a","ver":1}'] * count)
+        page = b'{"ver": 1, "rows": [%b], "has-more": true}' % rows
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(page)
+        self.script = test_endless.Script(head + page)
+        self.assertIn("rows", self.get_listing())
+        self.assertEqual(len(self.transports), 3)
+
     def test_endless_response_to_probe_counts_as_failed(self) -> None:
         target = upstreams.Upstream("u1", "tags", ("10.0.0.1", 1), "a", 4, False, 0.0, 0, 1)
         for start in (UNFRAMED_HEAD, b"HTTP/1.1 200 "):
--- a/waxwingspool/platform/store.py
+++ b/waxwingspool/platform/store.py
@@ -9,8 +9,21 @@
 
 from waxwingspool import exceptions
 
-__all__ = ["Page", "Row", "changes_request", "decode_page", "listing_request", "put_request"]
-
+__all__ = [
+    "MAX_ROWS",
+    "Page",
+    "Row",
+    "changes_request",
+    "decode_page",
+    "listing_request",
+    "put_request",
+]
+
+# Largest number of rows of a response, and of a listing. Decoded, small rows take several times the
+# memory of their encoded form.
+MAX_ROWS = 50_000
+# Field that each row has once; quotes within texts are escaped.
+_ROW_MARK = b'"key"'
 
 _Version = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
@@ -106,6 +119,8 @@
 
     :raises waxwingspool.exceptions.StoreUnavailable: if the body is malformed.
     """
+    if body.count(_ROW_MARK) > MAX_ROWS:
+        raise exceptions.StoreUnavailable(f"a response of over {MAX_ROWS} rows")
     try:
         page = _decoder.decode(body)
         rows = tuple(Row(row.key, _decode_value(row), row.ver) for row in page.rows if not row.part)
--- a/waxwingspool/platform/tests/test_decoding.py
+++ b/waxwingspool/platform/tests/test_decoding.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import unittest
+from unittest import mock
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import routes
@@ -175,6 +176,16 @@
         self.assertEqual((store.Row("config", b"x", 4),), page.rows)
         self.assertEqual(9, page.version)
 
+    def test_response_of_too_many_rows_is_not_decoded(self) -> None:
+        # Guards against a response that takes more memory than the process may have.
+        rows = b",".join([b'{"key":"a","ver":1}'] * (store.MAX_ROWS + 1))
+        with (
+            mock.patch.object(store, "_decoder") as decoder,
+            self.assertRaisesRegex(exceptions.StoreUnavailable, "rows"),
+        ):
+            store.decode_page(b'{"ver": 1, "rows": [%b]}' % rows)
+        decoder.decode.assert_not_called()
+
     def test_malformed_response_counts_as_an_outage(self) -> None:
         for body in (b"", b"{}", b'{"ver": 1, "rows": [{"key": "a", "ver": 1, "value": "?"}]}'):
             with self.subTest(body), self.assertRaises(exceptions.StoreUnavailable):
