Let late reports arrive during drains in the soak

Upstreams of the soak number their reports now, and in a part of the drains a report from before it arrives late, 0.2 to 3.5 s after it; the upstream repeats the report of draining 1.5 s later, as its next heartbeat would.

--- a/standins/deployment/cluster.py
+++ b/standins/deployment/cluster.py
@@ -1,6 +1,7 @@
 """Starts a deployment: balancers as processes; store, upstreams and relays in this process."""
 
 import asyncio
+import collections
 import dataclasses
 import os
 import pathlib
@@ -109,6 +110,8 @@
             for number in range(nodes)
         ]
         self.version = 0
+        # Number of the last report of each upstream.
+        self._reports: collections.Counter[str] = collections.Counter()
 
     def _make_node(self, number: int, data_centre: str) -> Node:
         ip = f"127.{self._subnet}.1.{number + 1}"
@@ -149,8 +152,13 @@
         for node in self.nodes:
             await self.launch(node)
 
-    async def register(self, id_: str, state: str) -> None:
-        """Write the row that registers an upstream."""
+    async def register(self, id_: str, state: str, report: int | None = None) -> int:
+        """Write the row that registers an upstream and return the number of the report.
+
+        :param report: number of a report that arrives late, ``None`` for the next one.
+        """
+        if report is None:
+            report = self._reports[id_] = self._reports[id_] + 1
         number = list(self.upstreams).index(id_)
         entry = {
             "service": self.upstreams[id_].service,
@@ -160,10 +168,11 @@
             "slots": upstream.SLOTS,
             "state": state,
             "warmup-left-ms": 0,
-            "seq": 1,
+            "seq": report,
             "born": 1,
         }
         await self.store.put("servers", id_, entry)
+        return report
 
     async def configure(self) -> int:
         """Write the next configuration and return its version.
--- a/standins/deployment/planted.py
+++ b/standins/deployment/planted.py
@@ -11,7 +11,7 @@
 from waxwingspool.catalog import upstreams
 from waxwingspool.dispatch import budget, rates
 from waxwingspool.edge import process, view
-from waxwingspool.fleet import tables
+from waxwingspool.fleet import row_order, tables
 from waxwingspool.proxy import body, exchange, forward, upstream
 
 __all__ = ["FaultMix", "PLANTED_FAULTS", "PlantedFault"]
@@ -121,6 +121,10 @@
     upstreams.Registry.usable = lambda self: list(self._upstreams.values())
 
 
+def _take_late_reports() -> None:
+    row_order.RowOrder.replace_late = lambda self, rows, known: list(rows)
+
+
 def _disable_retry_budget() -> None:
     budget.RetryBudget.try_acquire = lambda self, now, balancer_count: True
 
@@ -212,6 +216,9 @@
     "hasty-stop": PlantedFault("no answer is lost", _stop_immediately, _BALANCER_STOPS),
     "failing-stop": PlantedFault("ends in order", _exit_with_failure, _BALANCER_STOPS),
     "endless-stop": PlantedFault("ends within its grace time", _delay_stop, _BALANCER_STOPS),
+    "late-reports": PlantedFault(
+        "no new work while draining", _take_late_reports, _UPSTREAM_FAULTS_ONLY
+    ),
 }
 
 
--- a/standins/deployment/soak.py
+++ b/standins/deployment/soak.py
@@ -28,6 +28,11 @@
 # Time between SIGTERM and the kill, and the allowance for signal delivery, in seconds.
 GRACE_S = 6.0
 GRACE_SLACK_S = 0.5
+# Shortest and longest time in seconds after the report of draining at which an earlier one arrives,
+# share of drains to which that happens, and time after which the upstream reports again.
+LATE_REPORT_S = (0.2, 3.5)
+LATE_REPORT_SHARE = 0.6
+HEARTBEAT_S = 1.5
 # Rate limits that upstreams name, in requests per second.
 RATE_LIMITS = (0.0, 0.2, 1.0, 2.2, 5.0)
 # Share of times at which all upstreams of a service name limits, one after the other.
@@ -106,6 +111,8 @@
         planted_fault: str | None,
     ) -> None:
         self._rng = random.Random(seed)
+        # Of its own, so that seeds that failed before draw what they drew then.
+        self._late_report_rng = random.Random(f"late reports {seed}")
         self._duration_s = duration_s
         self._cluster = cluster.Cluster(nodes, 4, 1 + seed % 200, self._rng, planted_fault)
         self._planted_fault = (
@@ -471,8 +478,9 @@
     async def _drain_upstream(self) -> None:
         """Drain an upstream and check that it gets no new requests after the time limit."""
         id_ = self._rng.choice(list(self._cluster.upstreams))
-        await self._cluster.register(id_, "draining")
+        report = await self._cluster.register(id_, "draining")
         drained_at = self._now()
+        late_report = asyncio.create_task(self._report_late(id_, report))
         await asyncio.sleep(MAX_DRAIN_S + MAX_QUEUED_S + 0.5)
         deadline = drained_at + MAX_DRAIN_S + MAX_QUEUED_S
         for at, upstream_id, _, request_id in self._cluster.ledger.arrivals:
@@ -480,8 +488,21 @@
             if upstream_id == id_ and at > deadline and node is not None and self._is_stable(node):
                 detail = f"{request_id} at {id_} after {at - drained_at:.2f} s"
                 self.findings.record_late("no new work while draining", detail)
+        late_report.cancel()
+        await asyncio.gather(late_report, return_exceptions=True)
         await self._cluster.register(id_, "ready")
 
+    async def _report_late(self, id_: str, report: int) -> None:
+        """Let a report from before a drain arrive during it, as one does that a cut held up.
+
+        :param report: number of the report of draining.
+        """
+        if self._late_report_rng.random() < LATE_REPORT_SHARE:
+            await asyncio.sleep(self._late_report_rng.uniform(*LATE_REPORT_S))
+            await self._cluster.register(id_, "ready", report - 1)
+            await asyncio.sleep(HEARTBEAT_S)
+            await self._cluster.register(id_, "draining")
+
     def _print_logs(self) -> None:
         """Print the log lines of the requests named in violations, and the heads of tracebacks."""
         for violation in self.findings.violations:
