Give callers that read slowly time to go on, before the next request

It is reset now only if nothing was read within an idle timeout. test_caller_that_reads_slowly_is_not_taken_for_one_that_does_not fails without the change.

--- a/waxwingspool/proxy/caller.py
+++ b/waxwingspool/proxy/caller.py
@@ -340,17 +340,20 @@
         return True
 
     async def _is_read(self) -> bool:
-        """Wait until the caller reads; return whether it did so within the idle timeout.
+        """Wait until the caller reads; return whether it goes on to within each idle timeout.
 
         Responses to further requests would add to those that it doesn't read.
         """
-        try:
-            async with asyncio.timeout(self._get_limits().idle_timeout_s):
-                await self.drain()
-        except TimeoutError:
-            eventlog.event("caller.not-reading", unsent=self._transport.get_write_buffer_size())
-            return False
-        return True
+        while True:
+            unsent = self._transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(self._get_limits().idle_timeout_s):
+                    await self.drain()
+                return True
+            except TimeoutError:
+                if self._transport.get_write_buffer_size() >= unsent:
+                    eventlog.event("caller.not-reading", unsent=unsent)
+                    return False
 
     async def _discard_body(self, request: Request) -> None:
         """Read and discard the rest of a request body after the response has been sent.
--- a/waxwingspool/proxy/tests/test_caller.py
+++ b/waxwingspool/proxy/tests/test_caller.py
@@ -57,6 +57,14 @@
             await asyncio.sleep(0)
         return self.transport.data
 
+    async def test_caller_that_reads_slowly_is_not_taken_for_one_that_does_not(self) -> None:
+        sizes = iter([300, 200, 200, 200])
+        self.transport.get_write_buffer_size = lambda: next(sizes)
+        connection = self.connect(routes.Limits(idle_timeout_s=0.01))
+        connection._drain_waiter = asyncio.get_running_loop().create_future()
+        self.assertFalse(await connection._is_read())
+        self.assertEqual([], list(sizes))
+
     async def test_complete_request_is_parsed(self) -> None:
         data = b"POST /a/b?c=d HTTP/1.1\r\nHost: A.example:80\r\nContent-Length: 3\r\n\r\nabc"
         response = await self.feed(data)
