Bound what the product's own role reads of control calls and of the platform's services

In the role that `waxwingspool run` starts, responses to requests were bounded, but those to probes and cancellations were read for as long as their timeout of 1 s, and those of the table, the object store and the VM list likewise. An upstream that sends without end made one probe read 857 MB on this machine.

Change: all bodies are read by one function with a limit: 64 KB for probes and cancellations, 16 MB for the platform's services, where more counts as an outage. A body that is no JSON counts as an outage as well, whatever its content type says; before, it did by its content type alone.

--- a/waxwingspool/interfaces/http.py
+++ b/waxwingspool/interfaces/http.py
@@ -4,7 +4,12 @@
 
 import aiohttp
 
-__all__ = ["Endpoint", "endpoint"]
+from waxwingspool import exceptions
+
+__all__ = ["Endpoint", "MAX_PLATFORM_BYTES", "endpoint", "read_body"]
+
+# Largest response of a service of the platform, in bytes.
+MAX_PLATFORM_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,3 +33,20 @@
     :param timeout_s: time limit for one request, including its response, in seconds.
     """
     return Endpoint(session, base_url, aiohttp.ClientTimeout(total=timeout_s))
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the complete body of a response.
+
+    :raises waxwingspool.exceptions.AnswerTooLarge: if the body has more than ``max_bytes``.
+    """
+    if (response.content_length or 0) > max_bytes:
+        raise exceptions.AnswerTooLarge(f"an answer of {response.content_length} bytes")
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        if size > max_bytes:
+            raise exceptions.AnswerTooLarge(f"an answer of more than {max_bytes} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
--- a/waxwingspool/interfaces/objects.py
+++ b/waxwingspool/interfaces/objects.py
@@ -60,6 +60,11 @@
                 if response.status == 404:
                     return None
                 response.raise_for_status()
-                return await response.read()
-        except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
+                return await http.read_body(response, http.MAX_PLATFORM_BYTES)
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            ConnectionError,
+            exceptions.AnswerTooLarge,
+        ) as error:
             raise exceptions.StoreUnavailable(f"object store: {error!r}") from error
--- a/waxwingspool/interfaces/table.py
+++ b/waxwingspool/interfaces/table.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import json
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
@@ -169,10 +170,16 @@
                 if response.status == 503:
                     raise exceptions.StoreUnavailable(f"table refused {path}")
                 response.raise_for_status()
-                return await response.json()
+                return json.loads(await http.read_body(response, http.MAX_PLATFORM_BYTES))
         except aiohttp.ClientConnectorError as error:
             raise exceptions.StoreUnavailable(f"table can't be reached: {error}") from error
-        except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            ConnectionError,
+            ValueError,
+            exceptions.AnswerTooLarge,
+        ) as error:
             raise error_type(f"no answer from the table: {error!r}") from error
 
 
--- a/waxwingspool/interfaces/tests/test_upstream.py
+++ b/waxwingspool/interfaces/tests/test_upstream.py
@@ -1,6 +1,7 @@
 """Tests of the client for upstreams, against a local server with injected faults."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import unittest
@@ -51,10 +52,15 @@
     ) -> upstream.Result:
         """Send a request to a server that sends some bytes and ends the connection."""
 
+        handlers: list[asyncio.Task] = []
+
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            handlers.append(asyncio.current_task())
             await reader.readuntil(b"\r\n\r\n")
             writer.write(response)
-            await writer.drain()
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+            # Until then the client has read the response.
             await asyncio.sleep(0.05)
             if resets:
                 linger = struct.pack("ii", 1, 0)
@@ -69,7 +75,10 @@
         self.addAsyncCleanup(client.close)
         address = "{}:{}".format(*server.sockets[0].getsockname())
         request = upstream.Request("POST", "/x", (), body)
-        return await client.send(address, request, ATTEMPT, 5.0)
+        try:
+            return await client.send(address, request, ATTEMPT, 5.0)
+        finally:
+            await asyncio.wait(handlers)
 
     async def test_part_of_a_response_without_a_length_is_indeterminate_after_a_reset(self):
         # Guards against a part of a response that is delivered as the whole.
--- a/waxwingspool/interfaces/upstream.py
+++ b/waxwingspool/interfaces/upstream.py
@@ -14,12 +14,14 @@
 import asyncio
 import dataclasses
 import enum
+import json
 from collections.abc import AsyncIterable
 from typing import Protocol
 
 import aiohttp
 
 from waxwingspool import exceptions
+from waxwingspool.interfaces import http
 
 __all__ = [
     "Response",
@@ -38,6 +40,8 @@
 
 # Maximum size of a response body, which is buffered completely before it is forwarded, in bytes.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Maximum size of the response to a cancellation or a probe, in bytes.
+MAX_CONTROL_BYTES = 64 * 1024
 # Range of valid status codes (RFC 9110, section 15).
 MIN_STATUS, MAX_STATUS = 100, 599
 # Time limit for connecting, and for a cancellation or a probe, in seconds.
@@ -257,18 +261,18 @@
                 asyncio.timeout(CONNECT_TIMEOUT_S),
                 self._session.post(url) as response,
             ):
-                body = await response.json()
+                body = json.loads(await http.read_body(response, MAX_CONTROL_BYTES))
                 return CancelReply(CancelState(body["state"]), body["incarnation"])
-        except (aiohttp.ClientError, OSError, ValueError, KeyError):
+        except (aiohttp.ClientError, OSError, ValueError, KeyError, exceptions.AnswerTooLarge):
             return None
 
     async def probe(self, address: str) -> Load | None:
         url = f"http://{address}/.waxwing/load"
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S), self._session.get(url) as response:
-                await response.read()
+                await http.read_body(response, MAX_CONTROL_BYTES)
                 return parse_load(response.headers.get("Waxwing-Load"))
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError, exceptions.AnswerTooLarge):
             return None
 
     async def _exchange(self, address: str, request: Request, attempt: Attempt) -> Result:
@@ -287,7 +291,7 @@
         ) as response:
             connection = response.connection
             protocol = None if connection is None else connection.protocol
-            body = await _read_body(response)
+            body = await http.read_body(response, MAX_RESPONSE_BYTES)
             # The library takes a reset for the end of a body that ends with its connection.
             if protocol is not None and not _is_framed(response):
                 error = protocol.exception()
@@ -310,20 +314,3 @@
 def _is_framed(response: aiohttp.ClientResponse) -> bool:
     """Return whether the end of a body is known without the connection being closed."""
     return response.content_length is not None or "Transfer-Encoding" in response.headers
-
-
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Return the complete body of a response.
-
-    :raises waxwingspool.exceptions.AnswerTooLarge: if the body exceeds the maximum size.
-    """
-    if (response.content_length or 0) > MAX_RESPONSE_BYTES:
-        raise exceptions.AnswerTooLarge(f"an answer of {response.content_length} bytes")
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in response.content.iter_any():
-        size += len(chunk)
-        if size > MAX_RESPONSE_BYTES:
-            raise exceptions.AnswerTooLarge(f"an answer of more than {MAX_RESPONSE_BYTES} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
--- a/waxwingspool/interfaces/vms.py
+++ b/waxwingspool/interfaces/vms.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import json
 from typing import Protocol
 
 import aiohttp
@@ -60,7 +61,13 @@
                 self._endpoint.base_url, timeout=self._endpoint.timeout
             ) as response:
                 response.raise_for_status()
-                body = await response.json()
-        except (TimeoutError, aiohttp.ClientError, ConnectionError) as error:
+                body = json.loads(await http.read_body(response, http.MAX_PLATFORM_BYTES))
+        except (
+            TimeoutError,
+            aiohttp.ClientError,
+            ConnectionError,
+            ValueError,
+            exceptions.AnswerTooLarge,
+        ) as error:
             raise exceptions.StoreUnavailable(f"VM list: {error!r}") from error
         return [Vm(**vm) for vm in body["vms"]]
