--- a/waxwingspool/fleet/tests/test_store_return.py
+++ b/waxwingspool/fleet/tests/test_store_return.py
@@ -31,22 +31,26 @@
         self.addCleanup(region.close)
         return region
 
+    def disturb(
+        self, region: model.Region, fail: Callable[[Iterable[model.Balancer], bool], None]
+    ) -> Iterator[float]:
+        """Yield after each of several outages how long a change may take to reach all balancers."""
+        for outage_s in OUTAGES_S:
+            for accepted_after_s in ACCEPTED_AFTER_S:
+                fail(region.balancers.values(), True)
+                region.loop.advance(outage_s)
+                fail(region.balancers.values(), False)
+                region.loop.advance(accepted_after_s)
+                yield max(node.Bounds().config_apply_s, STABILITY_WINDOW_S - accepted_after_s)
+
     def check_in_force_in_time(
         self, fail: Callable[[Iterable[model.Balancer], bool], None], **sizes: float
     ) -> None:
         """Check when balancers have a configuration that is accepted after an outage."""
         region = self.start(**sizes)
-        routes = 20
-        for outage_s, accepted_after_s in _each_case():
-            with self.subTest(outage_s=outage_s, accepted_after_s=accepted_after_s, **sizes):
-                fail(region.balancers.values(), True)
-                region.loop.advance(outage_s)
-                fail(region.balancers.values(), False)
-                region.loop.advance(accepted_after_s)
-                bound_s = node.Bounds().config_apply_s
-                bound_s = max(bound_s, STABILITY_WINDOW_S - accepted_after_s)
-                routes += 1
-                self.assertLess(region.apply_configuration(routes, 10.0), bound_s)
+        for number, bound_s in enumerate(self.disturb(region, fail), start=1):
+            with self.subTest(number=number, **sizes):
+                self.assertLess(region.apply_configuration(20 + number, 10.0), bound_s)
 
     def test_configuration_after_a_silent_store_returned_is_in_force_in_time(self) -> None:
         # Guards against calls without a response that outlive the outage by seconds.
@@ -63,6 +67,19 @@
         for readers in (1, 2, 6):
             self.check_in_force_in_time(_set_silent, readers=readers, others=0, remote=readers)
 
+    def test_report_of_draining_after_an_outage_is_known_in_time(self) -> None:
+        # Guards against upstreams' rows that wait longer than the configuration.
+        for readers in (1, 2, 12):
+            region = self.start(readers=readers, others=0)
+            for number, bound_s in enumerate(self.disturb(region, _set_silent), start=1):
+                with self.subTest(number=number, readers=readers):
+                    region.put("servers", "i-leaving", b"draining")
+                    version = region.version
+                    region.loop.advance(bound_s)
+                    known = [b.tables.versions()["servers"] for b in region.balancers.values()]
+                    self.assertGreaterEqual(min(known), version)
+                region.loop.advance(8.0)
+
     def test_balancer_that_joined_during_an_outage_is_known_once_the_store_returned(self) -> None:
         # Guards against long polls whose response was lost and that are still waited for.
         for readers in (1, 3, 12):
@@ -86,9 +103,3 @@
         region = self.start(readers=2, others=0)
         region.store_delay_s = 2.0
         self.assertLess(region.apply_configuration(21, 20.0), float("inf"))
-
-
-def _each_case() -> Iterator[tuple[float, float]]:
-    for outage_s in OUTAGES_S:
-        for accepted_after_s in ACCEPTED_AFTER_S:
-            yield outage_s, accepted_after_s
