--- a/waxwingspool/fleet/row_order.py
+++ b/waxwingspool/fleet/row_order.py
@@ -19,8 +19,8 @@
 
 __all__ = ["MAX_DELAY_S", "Position", "ReadPosition", "RowOrder"]
 
-# Longest time in seconds that a write may be held up. TCP sends again what a partition of 12 s held
-# up after 25.4 s at the latest.
+# Longest time in seconds that a write may be held up. TCP sends again what a partition of up to
+# 25 s held up 25.4 s after it was sent at the latest.
 MAX_DELAY_S = 30.0
 # Largest number of keys whose last report is remembered.
 MAX_KEYS = 20_000
--- a/waxwingspool/interfaces/http.py
+++ b/waxwingspool/interfaces/http.py
@@ -6,8 +6,16 @@
 
 from waxwingspool import exceptions
 
-__all__ = ["Endpoint", "MAX_PLATFORM_BYTES", "endpoint", "read_body"]
-
+__all__ = ["CALL_ERRORS", "Endpoint", "MAX_PLATFORM_BYTES", "endpoint", "read_body"]
+
+# Errors of a call that got no usable response.
+CALL_ERRORS = (
+    TimeoutError,
+    aiohttp.ClientError,
+    ConnectionError,
+    ValueError,
+    exceptions.AnswerTooLarge,
+)
 # Largest response of a service of the platform, in bytes.
 MAX_PLATFORM_BYTES = 16 * 1024 * 1024
 
--- a/waxwingspool/interfaces/objects.py
+++ b/waxwingspool/interfaces/objects.py
@@ -61,10 +61,5 @@
                     return None
                 response.raise_for_status()
                 return await http.read_body(response, http.MAX_PLATFORM_BYTES)
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            ConnectionError,
-            exceptions.AnswerTooLarge,
-        ) as error:
+        except http.CALL_ERRORS as error:
             raise exceptions.StoreUnavailable(f"object store: {error!r}") from error
--- a/waxwingspool/interfaces/table.py
+++ b/waxwingspool/interfaces/table.py
@@ -173,13 +173,7 @@
                 return json.loads(await http.read_body(response, http.MAX_PLATFORM_BYTES))
         except aiohttp.ClientConnectorError as error:
             raise exceptions.StoreUnavailable(f"table can't be reached: {error}") from error
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            ConnectionError,
-            ValueError,
-            exceptions.AnswerTooLarge,
-        ) as error:
+        except http.CALL_ERRORS as error:
             raise error_type(f"no answer from the table: {error!r}") from error
 
 
--- a/waxwingspool/interfaces/vms.py
+++ b/waxwingspool/interfaces/vms.py
@@ -62,12 +62,6 @@
             ) as response:
                 response.raise_for_status()
                 body = json.loads(await http.read_body(response, http.MAX_PLATFORM_BYTES))
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            ConnectionError,
-            ValueError,
-            exceptions.AnswerTooLarge,
-        ) as error:
+        except http.CALL_ERRORS as error:
             raise exceptions.StoreUnavailable(f"VM list: {error!r}") from error
         return [Vm(**vm) for vm in body["vms"]]
