--- a/standins/deployment/cluster.py
+++ b/standins/deployment/cluster.py
@@ -110,8 +110,10 @@
             for number in range(nodes)
         ]
         self.version = 0
-        # Number of the last report of each upstream.
+        # Number of the last report of each upstream, and the state that it reported.
         self._reports: collections.Counter[str] = collections.Counter()
+        self._states: dict[str, str] = {}
+        self._configuration: dict = {}
 
     def _make_node(self, number: int, data_centre: str) -> Node:
         ip = f"127.{self._subnet}.1.{number + 1}"
@@ -159,6 +161,7 @@
         """
         if report is None:
             report = self._reports[id_] = self._reports[id_] + 1
+            self._states[id_] = state
         number = list(self.upstreams).index(id_)
         entry = {
             "service": self.upstreams[id_].service,
@@ -200,9 +203,21 @@
             "listeners": [{"host": "soak.example", "rules": rules}],
             "clusters": [{"name": name, "health-path": "/health"} for name in SERVICES],
         }
+        self._configuration = document
         await self.store.put("op", "config", document)
         return self.version
 
+    async def deregister(self, id_: str) -> None:
+        """Remove the row of an upstream, which reports no more."""
+        self._states.pop(id_, None)
+        await self.store.remove("servers", id_)
+
+    async def write_again(self) -> None:
+        """Write what the operator and the upstreams wrote last, as after a restoration."""
+        await self.store.put("op", "config", self._configuration)
+        for id_, state in list(self._states.items()):
+            await self.register(id_, state)
+
     async def launch(self, node: Node) -> None:
         """Start the process of a balancer."""
         log_file = open(pathlib.Path(self._folder.name) / f"{node.name}.log", "ab")  # noqa: SIM115
--- a/standins/deployment/planted.py
+++ b/standins/deployment/planted.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Callable
 
-from waxwingspool.catalog import upstreams
+from waxwingspool.catalog import store_version, upstreams
 from waxwingspool.dispatch import budget, rates
 from waxwingspool.edge import process, view
 from waxwingspool.fleet import row_order, tables
@@ -100,7 +100,7 @@
 
     def accept_any_rows(self, table, page, complete, source, confirmed_at) -> None:
         if complete:
-            self._copies[table].version = -1
+            self._copies[table].version = store_version.UNKNOWN
         original_merge_rows(self, table, page, complete, source, confirmed_at)
 
     view.View._update_configuration = accept_any_configuration
--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -10,12 +10,16 @@
 from standins.deployment import web
 from waxwingspool.proxy import caller
 
-__all__ = ["Store"]
+__all__ = ["Copy", "Store"]
+
+# A version and the rows of that version, by table and key.
+Copy = tuple[int, dict[tuple[str, str], dict]]
 
 
 class Store:
-    """An in-memory store of versioned rows.
+    """An in-memory store of versioned rows, which can be restored from a copy.
 
+    :ivar epoch: number of restorations plus one, which all responses tell.
     :ivar fault: ``None``, ``"down"`` (responds with 503), ``"reset"`` (resets connections),
         ``"silent"`` (never responds), ``"slow"``, ``"lossy"`` (applies writes, but resets some
         connections instead of responding), ``"deaf"`` (feeds report no changes) or ``"stale"``
@@ -27,8 +31,8 @@
         self._rows: dict[tuple[str, str], dict] = {}
         self._changed = asyncio.Condition()
         self._compacted_version = 0
-        self._snapshot: tuple[int, dict[tuple[str, str], dict]] = (1, {})
-        self.version = 1
+        self._snapshot: Copy = (1, {})
+        self.version = self.epoch = 1
         self.fault: str | None = None
         self.calls = 0
 
@@ -50,7 +54,23 @@
 
     def snapshot(self) -> None:
         """Record the current rows, which stale listings return."""
-        self._snapshot = (self.version, dict(self._rows))
+        self._snapshot = self.copy()
+
+    def copy(self) -> Copy:
+        """Return a copy of the current state."""
+        return self.version, dict(self._rows)
+
+    async def restore(self, copy: Copy) -> None:
+        """Lose what was written since a copy was made, and begin a new epoch.
+
+        Calls that wait for changes are reset.
+        """
+        async with self._changed:
+            self.version, rows = copy
+            self._rows = dict(rows)
+            self._compacted_version = min(self._compacted_version, self.version)
+            self.epoch += 1
+            self._changed.notify_all()
 
     async def compact(self) -> None:
         """Discard the history of changes; feeds from before the current version get a 410."""
@@ -74,6 +94,12 @@
         self, request: caller.Request, data: bytes, connection: caller.Connection
     ) -> tuple[int, list, bytes]:
         self.calls += 1
+        status, headers, body = await self._respond(request, data, connection)
+        return status, [*headers, (b"store-era", b"%d" % self.epoch)], body
+
+    async def _respond(
+        self, request: caller.Request, data: bytes, connection: caller.Connection
+    ) -> tuple[int, list, bytes]:
         match self.fault:
             case "down":
                 return 503, [], b"{}"
@@ -106,8 +132,8 @@
         return self._response([])
 
     async def _read_feed(self, query: dict) -> tuple[int, list, bytes]:
-        after = int(query["after"])
-        if after < self._compacted_version:
+        after, epoch = int(query["after"]), self.epoch
+        if not self._compacted_version <= after <= self.version:
             return 410, [], b"{}"
         if self.fault == "deaf":
             await asyncio.sleep(int(query["wait-ms"]) / 1000)
@@ -119,9 +145,13 @@
 
         try:
             async with asyncio.timeout(int(query["wait-ms"]) / 1000), self._changed:
-                await self._changed.wait_for(lambda: new_rows() or after < self._compacted_version)
+                await self._changed.wait_for(
+                    lambda: new_rows() or after < self._compacted_version or epoch != self.epoch
+                )
         except TimeoutError:
             pass
+        if epoch != self.epoch:
+            return 0, [], b""
         if after < self._compacted_version:
             return 410, [], b"{}"
         return self._response(new_rows())
--- a/waxwingspool/catalog/tests/test_upstreams.py
+++ b/waxwingspool/catalog/tests/test_upstreams.py
@@ -3,17 +3,34 @@
 import dataclasses
 import unittest
 
-from waxwingspool.catalog import upstreams
+from waxwingspool.catalog import store_version, upstreams
 
 
 def make_upstream(
-    id_: str, version: int, port: int = 1, draining: bool = False, started_ms: int = 0
-):
+    id_: str,
+    version: int,
+    port: int = 1,
+    draining: bool = False,
+    started_ms: int = 0,
+    epoch: int = 1,
+) -> upstreams.Upstream:
     return upstreams.Upstream(
-        id_, "tags", ("10.0.0.1", port), "a", 4, draining, 0.0, started_ms, version
+        id_,
+        "tags",
+        ("10.0.0.1", port),
+        "a",
+        4,
+        draining,
+        0.0,
+        started_ms,
+        store_version.StoreVersion(epoch, version),
     )
 
 
+def removal(id_: str, version: int, epoch: int = 1) -> upstreams.Removal:
+    return upstreams.Removal(id_, store_version.StoreVersion(epoch, version))
+
+
 class RegistryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now = 100.0
@@ -36,13 +53,13 @@
         self.assertEqual(["new"], self.usable())
 
     def test_removal_is_immediate_without_a_store_outage(self) -> None:
-        self.registry.apply([make_upstream("u", 1), upstreams.Removal("u", 2)])
+        self.registry.apply([make_upstream("u", 1), removal("u", 2)])
         self.assertEqual([], self.usable())
 
     def test_removal_after_store_recovery_is_delayed(self) -> None:
         self.registry.apply([make_upstream("u", 1)])
         self.registry.record_store_recovery()
-        self.registry.apply([upstreams.Removal("u", 2)])
+        self.registry.apply([removal("u", 2)])
         self.assertEqual(["u"], self.usable())
         self.now += upstreams.REREGISTRATION_S + 0.01
         self.registry.expire()
@@ -57,7 +74,7 @@
     def test_single_upstream_that_left_while_rows_were_late_is_removed_at_once(self) -> None:
         ids = self.register(9)
         self.registry.record_store_recovery()
-        self.registry.apply([upstreams.Removal("u0", 2)])
+        self.registry.apply([removal("u0", 2)])
         self.assertEqual(ids[1:], self.usable())
 
     def test_upstream_missing_from_a_listing_after_late_rows_is_removed_at_once(self) -> None:
@@ -71,14 +88,14 @@
     def test_lapse_of_half_a_service_is_delayed(self) -> None:
         ids = self.register(8)
         self.registry.record_store_recovery()
-        self.registry.apply(upstreams.Removal(id_, 2) for id_ in ids[:4])
+        self.registry.apply(removal(id_, 2) for id_ in ids[:4])
         self.assertEqual(ids, self.usable())
 
     def test_lapses_that_arrive_one_by_one_leave_over_half_a_service(self) -> None:
         ids = self.register(8)
         self.registry.record_store_recovery()
         for id_ in ids:
-            self.registry.apply([upstreams.Removal(id_, 2)])
+            self.registry.apply([removal(id_, 2)])
         self.assertEqual(ids[3:], self.usable())
         self.now += upstreams.REREGISTRATION_S + 0.01
         self.registry.expire()
@@ -89,10 +106,10 @@
         self.registry.record_store_recovery()
         self.now += upstreams.REREGISTRATION_S + 0.01
         for id_ in ids[:4]:
-            self.registry.apply([upstreams.Removal(id_, 2)])
+            self.registry.apply([removal(id_, 2)])
             self.assertNotIn(id_, self.usable())
         self.registry.record_store_recovery()
-        self.registry.apply([upstreams.Removal(ids[4], 2)])
+        self.registry.apply([removal(ids[4], 2)])
         self.assertEqual(ids[5:], self.usable())
 
     def test_lapse_of_a_small_service_is_delayed_beside_a_large_one(self) -> None:
@@ -100,13 +117,13 @@
         other = dataclasses.replace(make_upstream("v", 1, port=20), service="till")
         self.registry.apply([other])
         self.registry.record_store_recovery()
-        self.registry.apply([upstreams.Removal("v", 2)])
+        self.registry.apply([removal("v", 2)])
         self.assertIn("v", self.usable())
 
     def test_reregistration_cancels_a_delayed_removal(self) -> None:
         self.registry.apply([make_upstream("u", 1)])
         self.registry.record_store_recovery()
-        self.registry.apply([upstreams.Removal("u", 2), make_upstream("u", 3)])
+        self.registry.apply([removal("u", 2), make_upstream("u", 3)])
         self.now += upstreams.REREGISTRATION_S + 0.01
         self.registry.expire()
         self.assertEqual(["u"], self.usable())
@@ -114,7 +131,7 @@
     def test_draining_upstream_is_removed_immediately_after_store_recovery(self) -> None:
         self.registry.apply([make_upstream("u", 1, draining=True)])
         self.registry.record_store_recovery()
-        self.registry.apply([upstreams.Removal("u", 2)])
+        self.registry.apply([removal("u", 2)])
         self.assertEqual({}, self.registry.upstreams)
 
     def test_complete_listing_removes_unlisted_upstreams(self) -> None:
--- a/waxwingspool/catalog/upstreams.py
+++ b/waxwingspool/catalog/upstreams.py
@@ -11,7 +11,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from waxwingspool.catalog import node
+from waxwingspool.catalog import node, store_version
 
 __all__ = ["Change", "Registry", "Removal", "Upstream"]
 
@@ -42,7 +42,7 @@
     draining: bool
     warm_at: float
     started_ms: int
-    row_version: int
+    row_version: store_version.StoreVersion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +50,7 @@
     """The deletion of an upstream's row from the store."""
 
     id: str
-    row_version: int
+    row_version: store_version.StoreVersion
 
 
 Change = Upstream | Removal
--- a/waxwingspool/edge/tests/test_view.py
+++ b/waxwingspool/edge/tests/test_view.py
@@ -32,7 +32,7 @@
             "configuration.in-force",
             version=7,
             before=-1,
-            row=12,
+            row=test_tables.version(12),
             routes=0,
             source="10.0.0.2",
             age_s=0.4,
--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from waxwingspool.catalog import store_version
+
 __all__ = [
     "SlotRequest",
     "ListingRequest",
@@ -121,11 +123,19 @@
 class Subscribe(msgspec.Struct, array_like=True, tag=7):
     """Subscribes to rows; ``versions`` holds the version of each table that the sender has.
 
-    ``sent_at`` is the sender's monotonic time in seconds.
+    ``sent_at`` is the sender's monotonic time in seconds, and ``epochs`` holds the epochs of the
+    versions.
     """
 
     versions: dict[str, int]
     sent_at: float | None = None
+    epochs: dict[str, int] = {}
+
+    def store_version(self, table: str) -> store_version.StoreVersion:
+        """Return the version of a table that the sender has."""
+        if table not in self.versions:
+            return store_version.UNKNOWN
+        return store_version.StoreVersion(self.epochs.get(table, 0), self.versions[table])
 
 
 class Rows(msgspec.Struct, array_like=True, tag=8):
@@ -134,7 +144,8 @@
     ``after`` is the version of the table before these changes, ``None`` for a complete listing.
     ``age_s`` is the time in seconds since the store confirmed this version to the sender,
     ``sent_at`` the sender's monotonic time in seconds, and ``requested_at`` that of the receiver
-    in the ``Subscribe`` frame to which this is the reply.
+    in the ``Subscribe`` frame to which this is the reply. All versions are of one epoch, 0 if the
+    sender does not tell it.
     """
 
     table: str
@@ -144,19 +155,25 @@
     age_s: float = 0.0
     sent_at: float | None = None
     requested_at: float | None = None
+    epoch: int = 0
 
 
 class TableAges(msgspec.Struct, array_like=True, tag=9):
     """Version and age in seconds of the sender's tables, except the members' table.
 
     ``sent_at`` and ``requested_at`` are those of :class:`Rows`; ``arriving`` tells whether newer
-    rows are arriving at the sender.
+    rows are arriving at the sender. ``epochs`` holds the epochs of the versions.
     """
 
     ages: dict[str, tuple[int, float]]
     sent_at: float | None = None
     requested_at: float | None = None
     arriving: bool = False
+    epochs: dict[str, int] = {}
+
+    def store_version(self, table: str) -> store_version.StoreVersion:
+        """Return the version of one of the sender's tables."""
+        return store_version.StoreVersion(self.epochs.get(table, 0), self.ages[table][0])
 
 
 class Unsubscribe(msgspec.Struct, array_like=True, tag=10):
--- a/waxwingspool/fleet/row_order.py
+++ b/waxwingspool/fleet/row_order.py
@@ -12,6 +12,7 @@
 """
 
 import collections
+import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
 from waxwingspool.observe import eventlog
@@ -39,11 +40,13 @@
     :param clock: returns the monotonic time in seconds.
 
     >>> order = RowOrder("t", lambda value: (1, int(value)), lambda: 0.0)
-    >>> newer, late = store.Row("a", b"10", 5), store.Row("a", b"7", 6)
-    >>> order.replace_late([newer], {})
-    [Row(key='a', value=b'10', version=5)]
-    >>> order.replace_late([late], {"a": newer})
-    [Row(key='a', value=b'10', version=5)]
+    >>> from waxwingspool.catalog import store_version
+    >>> newer = store.Row("a", b"10", store_version.StoreVersion(1, 5))
+    >>> late = store.Row("a", b"7", store_version.StoreVersion(1, 6))
+    >>> [row.value for row in order.replace_late([newer], {})]
+    [b'10']
+    >>> [row.value for row in order.replace_late([late], {"a": newer})]
+    [b'10']
     """
 
     def __init__(self, table: str, read_position: ReadPosition, clock: Callable[[], float]) -> None:
@@ -58,6 +61,9 @@
     ) -> list[store.Row]:
         """Return rows with each late one replaced by the known row of its key, or left out.
 
+        If the late row is of a later epoch, the known row takes its version, because all rows of a
+        copy are of one epoch.
+
         :param rows: rows in the order of the store.
         :param known: the rows that are known so far, by key.
         """
@@ -67,7 +73,7 @@
             if not self._is_late(row, known.get(row.key)):
                 ordered.append(row)
             elif row.key in known:
-                ordered.append(known[row.key])
+                ordered.append(_keep(known[row.key], row))
         return ordered
 
     def _is_late(self, row: store.Row, known: store.Row | None) -> bool:
@@ -110,3 +116,10 @@
         oldest_at = self._clock() - MAX_DELAY_S
         while self._last and next(iter(self._last.values()))[1] < oldest_at:
             self._last.popitem(last=False)
+
+
+def _keep(known: store.Row, late: store.Row) -> store.Row:
+    """Return the known row that takes the place of a late one."""
+    if known.version.epoch == late.version.epoch:
+        return known
+    return dataclasses.replace(known, version=late.version)
--- a/waxwingspool/fleet/store.py
+++ b/waxwingspool/fleet/store.py
@@ -4,8 +4,9 @@
 import dataclasses
 
 from waxwingspool import exceptions
-from waxwingspool.catalog import node
+from waxwingspool.catalog import node, store_version
 from waxwingspool.fleet import clock
+from waxwingspool.observe import eventlog
 from waxwingspool.platform import store
 from waxwingspool.proxy import message, upstream
 
@@ -40,7 +41,19 @@
 
 
 class HistoryGone(exceptions.WaxwingspoolError):
-    """The store has discarded the changes after a version; the table must be listed again."""
+    """The store has no history of the changes after a version; the table must be listed again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """A response of the store.
+
+    :ivar epoch: epoch in which the store responded.
+    """
+
+    status: int
+    data: bytes
+    epoch: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +74,7 @@
     :ivar calls: number of calls made.
     :ivar rtt_s: shortest time in seconds that connecting to the store took, ``None`` if it never
         succeeded.
+    :ivar epoch: latest epoch in which the store has responded, 0 before the first response.
     """
 
     def __init__(self, settings: node.NodeSettings) -> None:
@@ -75,6 +89,7 @@
         self._received_at = float("-inf")
         self.calls = 0
         self.rtt_s: float | None = None
+        self.epoch = 0
 
     @property
     def receiving(self) -> bool:
@@ -99,6 +114,7 @@
     async def get_listing(self, table: str) -> Reading:
         """Return all rows of a table, with the version from which to follow its changes.
 
+        :raises HistoryGone: the store was restored between two pages.
         :raises waxwingspool.exceptions.StoreUnavailable: the call failed.
         """
         rows: list[store.Row] = []
@@ -107,11 +123,13 @@
         size = 0
         while True:
             sent_at = asyncio.get_running_loop().time()
-            data = await self._call(b"GET", store.listing_request(table, start), b"", 0.0)
-            size += len(data)
+            answer = await self._call(b"GET", store.listing_request(table, start), b"", 0.0)
+            size += len(answer.data)
             if size > MAX_LISTING_BYTES:
                 raise exceptions.StoreUnavailable(f"a listing has over {MAX_LISTING_BYTES} bytes")
-            page = store.decode_page(data)
+            page = store.decode_page(answer.data, answer.epoch)
+            if first is not None and first.page.version.epoch != answer.epoch:
+                raise HistoryGone(f"the listing of {table} began in an earlier epoch")
             rows += page.rows
             if len(rows) > store.MAX_ROWS:
                 raise exceptions.StoreUnavailable(f"a listing has over {store.MAX_ROWS} rows")
@@ -122,16 +140,22 @@
                 return Reading(listing, first.confirmed_at)
             start = page.rows[-1].key + "\0"
 
-    async def get_changes(self, table: str, after: int, wait_s: float) -> Reading:
+    async def get_changes(
+        self, table: str, after: store_version.StoreVersion, wait_s: float
+    ) -> Reading:
         """Return the changes of a table after a version, as soon as there are any.
 
         :param wait_s: time in seconds after which the store responds without changes.
-        :raises HistoryGone: the version is too old.
+        :raises HistoryGone: the version is too old, or of another epoch than the store's.
         :raises waxwingspool.exceptions.StoreUnavailable: the call failed.
         """
-        target = store.changes_request(table, after, wait_s)
+        target = store.changes_request(table, after.number, wait_s)
         sent_at = asyncio.get_running_loop().time()
-        page = store.decode_page(await self._call(b"GET", target, b"", wait_s))
+        answer = await self._call(b"GET", target, b"", wait_s)
+        if answer.epoch != after.epoch:
+            # The number may have been given out again, so the changes may be incomplete.
+            raise HistoryGone(f"version {after} is not of epoch {answer.epoch}")
+        page = store.decode_page(answer.data, answer.epoch)
         # Without changes, the store does not answer before the wait is over.
         waited = not page.rows and asyncio.get_running_loop().time() - sent_at >= wait_s
         return self._to_reading(page, sent_at + wait_s if waited else sent_at)
@@ -146,17 +170,17 @@
         self._clock.record(page.clock_s, asyncio.get_running_loop().time(), answered_after)
         return Reading(page, self._clock.to_local(page.clock_s))
 
-    async def put(self, table: str, key: str, value: bytes) -> None:
-        """Write one row.
+    async def put(self, table: str, key: str, value: bytes) -> int:
+        """Write one row and return the epoch in which the store acknowledged it.
 
         :raises waxwingspool.exceptions.StoreUnavailable: the call failed; the row may or may not
             have been written.
         """
         target, body = store.put_request(table, key, value)
-        await self._call(b"POST", target, body, WRITE_QUEUE_TIMEOUT_S)
+        return (await self._call(b"POST", target, body, WRITE_QUEUE_TIMEOUT_S)).epoch
 
-    async def _call(self, method: bytes, target: str, body: bytes, wait_s: float) -> bytes:
-        """Make one call and return the body of the response.
+    async def _call(self, method: bytes, target: str, body: bytes, wait_s: float) -> _Answer:
+        """Make one call and return the response.
 
         Beyond the shortest timeout, the request is sent again at intervals and the first response
         counts. The store may perform it more than once: writes are unconditional and always of the
@@ -181,8 +205,8 @@
             # Retrieves the exceptions of those that have failed as well.
             await asyncio.gather(*attempts, return_exceptions=True)
 
-    async def _send(self, method: bytes, target: str, body: bytes, wait_s: float) -> bytes:
-        """Send one request and return the body of the response."""
+    async def _send(self, method: bytes, target: str, body: bytes, wait_s: float) -> _Answer:
+        """Send one request and return the response."""
         self.calls += 1
         sent_at = asyncio.get_running_loop().time()
         connection = None
@@ -190,7 +214,7 @@
         try:
             async with asyncio.timeout(wait_s + self._response_timeout_s) as timeout:
                 connection = await self._get_connection()
-                result = await self._exchange(connection, method, target, body, timeout)
+                answer = await self._exchange(connection, method, target, body, timeout)
                 succeeded = True
         except TimeoutError as error:
             self._handle_timeout(sent_at)
@@ -200,15 +224,20 @@
         finally:
             if connection is not None and not succeeded:
                 connection.abort()
-        status, data = result
         self._set_response_timeout(self._response_timeout_s / 2)
         if connection.finish():
             self._idle.append(connection)
-        if status == _STATUS_GONE:
+        if answer.epoch < self.epoch:
+            detail = f"late response of epoch {answer.epoch}, the store is in {self.epoch}"
+            raise exceptions.StoreUnavailable(detail)
+        if answer.epoch > self.epoch:
+            eventlog.event("store.epoch", epoch=answer.epoch, before=self.epoch)
+            self.epoch = answer.epoch
+        if answer.status == _STATUS_GONE:
             raise HistoryGone(target)
-        if status != 200:
-            raise exceptions.StoreUnavailable(f"the store responded with status {status}")
-        return data
+        if answer.status != 200:
+            raise exceptions.StoreUnavailable(f"the store responded with status {answer.status}")
+        return answer
 
     def _handle_timeout(self, sent_at: float) -> None:
         """Extend the response timeout, once for all calls that were waiting together.
@@ -254,8 +283,8 @@
         target: str,
         body: bytes,
         timeout: asyncio.Timeout,
-    ) -> tuple[int, bytes]:
-        """Send a request and return status and body of the response.
+    ) -> _Answer:
+        """Send a request and return the response.
 
         :param timeout: timeout of the call, which is extended while the body arrives.
         """
@@ -281,5 +310,6 @@
                 detail = f"over {MAX_RESPONSE_BYTES} bytes"
                 raise upstream.Broken(upstream.ExchangeFailure.MALFORMED, detail)
             if response.body.complete:
-                return response.status, bytes(data)
+                told = store.parse_epoch(message.get_header(response.headers, store.EPOCH_HEADER))
+                return _Answer(response.status, bytes(data), self.epoch if told is None else told)
             self._received_at = loop.time()
--- a/waxwingspool/fleet/table_copy.py
+++ b/waxwingspool/fleet/table_copy.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Iterable
 
+from waxwingspool.catalog import store_version
 from waxwingspool.platform import store
 
 __all__ = ["TableCopy"]
@@ -15,19 +16,25 @@
 class TableCopy:
     """A balancer's copy of one table.
 
-    :ivar version: version of the store up to which all changes are included; -1 before the first
-        listing.
+    All rows and deletions are of the epoch of the copy.
+
+    :ivar version: version of the store up to which all changes are included.
     :ivar fresh_at: monotonic time in seconds at which the store last confirmed the copy.
     :ivar deletions: versions of the rows that were deleted after ``deletions_since``.
     """
 
-    version: int = -1
+    version: store_version.StoreVersion = store_version.UNKNOWN
     fresh_at: float = float("-inf")
     rows: dict[str, store.Row] = dataclasses.field(default_factory=dict)
-    deletions: dict[str, int] = dataclasses.field(default_factory=dict)
-    deletions_since: int = 0
+    deletions: dict[str, store_version.StoreVersion] = dataclasses.field(default_factory=dict)
+    deletions_since: store_version.StoreVersion = store_version.StoreVersion(0, 0)
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether the table has been listed."""
+        return self.version > store_version.UNKNOWN
 
-    def changes_after(self, version: int) -> list[store.Row] | None:
+    def changes_after(self, version: store_version.StoreVersion) -> list[store.Row] | None:
         """Return all changes after a version, ``None`` if they are no longer known."""
         if version < self.deletions_since:
             return None
@@ -39,13 +46,13 @@
         ]
         return changed + deleted
 
-    def replace(self, rows: dict[str, store.Row], version: int) -> None:
+    def replace(self, rows: dict[str, store.Row], version: store_version.StoreVersion) -> None:
         """Replace the copy by a complete listing."""
         self.rows = rows
         self.version = version
         self._forget_deletions()
 
-    def apply(self, changes: Iterable[store.Row], version: int) -> None:
+    def apply(self, changes: Iterable[store.Row], version: store_version.StoreVersion) -> None:
         """Apply all changes up to a version."""
         self.version = version
         for row in changes:
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from waxwingspool import exceptions
-from waxwingspool.catalog import node
+from waxwingspool.catalog import node, store_version
 from waxwingspool.dispatch import readers
 from waxwingspool.fleet import frames, link, members, reader_ranking, row_order, table_copy
 from waxwingspool.fleet import store as store_client
@@ -99,6 +99,9 @@
     """New rows of a table.
 
     :ivar complete: whether the rows are the complete table.
+    :ivar version: version of the store that they reflect.
+    :ivar restored: whether they replace rows of an earlier epoch, because the store has been
+        restored from a copy.
     :ivar source: :data:`STORE`, or the address of the peer that sent the rows.
     :ivar age_s: time in seconds since the store confirmed the rows.
     """
@@ -108,6 +111,8 @@
     complete: bool
     source: str
     age_s: float
+    version: store_version.StoreVersion = store_version.UNKNOWN
+    restored: bool = False
 
 
 OnRows = Callable[[Update], None]
@@ -185,7 +190,7 @@
     @property
     def complete(self) -> bool:
         """Whether every required table has been read at least once."""
-        return all(self._copies[table].version >= 0 for table in self._required_tables)
+        return all(self._copies[table].is_listed for table in self._required_tables)
 
     @property
     def age_s(self) -> float:
@@ -206,7 +211,7 @@
         """Whether this balancer reads the store directly."""
         return bool(self._read_tasks)
 
-    def versions(self) -> dict[str, int]:
+    def versions(self) -> dict[str, store_version.StoreVersion]:
         """Return the version of each table."""
         return {table: copy.version for table, copy in self._copies.items()}
 
@@ -254,7 +259,7 @@
             self._give_up_reader()
             self._select_reader()
         for table, copy in self._copies.items():
-            version = frame.versions.get(table, -1)
+            version = frame.store_version(table)
             if version < copy.version:
                 self._send_changes(peer_link, table, version, frame.sent_at)
         peer_link.send(self._table_ages(frame.sent_at))
@@ -264,11 +269,15 @@
         copy = self._copies.get(frame.table)
         if copy is None:
             return False
-        rows = tuple(store.Row(key, value, version) for key, version, value in frame.rows)
-        if frame.after is not None and frame.after > copy.version:
+        rows = tuple(
+            store.Row(key, value, store_version.StoreVersion(frame.epoch, number))
+            for key, number, value in frame.rows
+        )
+        version = store_version.StoreVersion(frame.epoch, frame.version)
+        if frame.after is not None and version._replace(number=frame.after) > copy.version:
             return True
         confirmed_at = _sent_at(peer_link, frame) - frame.age_s
-        page = store.Page(rows, frame.version, False)
+        page = store.Page(rows, version, False)
         self._merge_rows(frame.table, page, frame.after is None, peer_link.peer, confirmed_at)
         return False
 
@@ -282,13 +291,14 @@
         if frame.arriving:
             self._arriving_at = self._heard_at
         sent_at = _sent_at(peer_link, frame)
-        for table, (version, age_s) in frame.ages.items():
+        for table, (_, age_s) in frame.ages.items():
             copy = self._copies.get(table)
             if copy is None:
                 continue
+            version = frame.store_version(table)
             if version > copy.version:
                 peer_link.send(frames.ListingRequest(table))
-            else:
+            elif version.epoch == copy.version.epoch:
                 self._mark_fresh(copy, sent_at - age_s)
         if self.age_s < MAX_AGE_S and all(age_s < MAX_AGE_S for _, age_s in frame.ages.values()):
             self._failovers = 0
@@ -318,6 +328,10 @@
 
     def _tells_fresh_rows(self, peer_link: link.Link, frame: frames.TableAges) -> bool:
         """Return whether a peer has all required tables and none of them is old."""
+        for table in self._required_tables:
+            epoch = self._copies[table].version.epoch
+            if table in frame.ages and frame.store_version(table).epoch < epoch:
+                return False
         elapsed_s = time.monotonic() - _sent_at(peer_link, frame)
         ages_s = [frame.ages.get(table, (0, float("inf")))[1] for table in self._required_tables]
         return max(ages_s) + elapsed_s < MAX_AGE_S
@@ -590,7 +604,10 @@
 
     def _send_subscription(self, peer_link: link.Link) -> None:
         self._subscribed_at = time.monotonic()
-        peer_link.send(frames.Subscribe(self.versions(), self._subscribed_at))
+        versions = self.versions()
+        numbers = {table: version.number for table, version in versions.items()}
+        epochs = {table: version.epoch for table, version in versions.items()}
+        peer_link.send(frames.Subscribe(numbers, self._subscribed_at, epochs))
 
     def _renew_subscription(self) -> None:
         """Subscribe once more to a reader that has been followed for long."""
@@ -643,8 +660,9 @@
         # The first call returns at once, because followers wait for rows to be confirmed.
         wait_s = 0.0
         while True:
+            listing = not copy.is_listed or relist or copy.version.epoch < self._client.epoch
             try:
-                if copy.version < 0 or relist:
+                if listing:
                     reading = await self._client.get_listing(table)
                 else:
                     reading = await self._client.get_changes(table, copy.version, wait_s)
@@ -670,9 +688,8 @@
             failures = self._failed_calls[table] = 0
             wait_s = long_poll_s
             self._read_at[table] = reading.confirmed_at
-            complete = copy.version < 0 or relist
             relisted, relist = relist, False
-            self._merge_rows(table, reading.page, complete, STORE, reading.confirmed_at)
+            self._merge_rows(table, reading.page, listing, STORE, reading.confirmed_at)
             if reading.page.rows:
                 await asyncio.sleep(BATCH_DELAY_S)
 
@@ -708,9 +725,18 @@
         rows = self._order_rows(table, page.rows)
         self._mark_fresh(copy, confirmed_at)
         previous_version = copy.version
+        restored = complete and copy.is_listed and version.epoch > previous_version.epoch
+        if restored:
+            eventlog.event(
+                "table.restored",
+                table=table,
+                version=version,
+                before=previous_version,
+                source=source,
+            )
         if complete:
             listed = {row.key: row for row in rows if row.value is not None}
-            changed = listed != copy.rows or previous_version < 0
+            changed = listed != copy.rows or not copy.is_listed or restored
             copy.replace(listed, version)
             updates: Iterable[store.Row] = listed.values()
         else:
@@ -719,7 +745,7 @@
             copy.apply(updates, version)
         if changed:
             age_s = time.monotonic() - confirmed_at
-            self._on_rows(Update(table, updates, complete, source, age_s))
+            self._on_rows(Update(table, updates, complete, source, age_s, version, restored))
         self._broadcast_rows(
             table, previous_version, updates if changed else (), complete and changed
         )
@@ -746,7 +772,11 @@
         copy.fresh_at = max(copy.fresh_at, confirmed_at)
 
     def _broadcast_rows(
-        self, table: str, previous_version: int, rows: Iterable[store.Row], complete: bool
+        self,
+        table: str,
+        previous_version: store_version.StoreVersion,
+        rows: Iterable[store.Row],
+        complete: bool,
     ) -> None:
         if not self._subscribers:
             return
@@ -776,7 +806,11 @@
         self._send_rows(peer_link, table, None, self._copies[table].rows.values(), requested_at)
 
     def _send_changes(
-        self, peer_link: link.Link, table: str, after: int, requested_at: float | None
+        self,
+        peer_link: link.Link,
+        table: str,
+        after: store_version.StoreVersion,
+        requested_at: float | None,
     ) -> None:
         """Send the changes after a version, or a complete listing if they are not known."""
         changes = self._copies[table].changes_after(after)
@@ -789,34 +823,41 @@
         self,
         peer_link: link.Link,
         table: str,
-        after: int | None,
+        after: store_version.StoreVersion | None,
         rows: Iterable[store.Row],
         requested_at: float | None,
     ) -> None:
-        if self._copies[table].version >= 0:
+        if self._copies[table].is_listed:
             peer_link.send(self._rows_frame(table, after, rows, requested_at))
 
     def _rows_frame(
         self,
         table: str,
-        after: int | None,
+        after: store_version.StoreVersion | None,
         rows: Iterable[store.Row],
         requested_at: float | None = None,
     ) -> frames.Rows:
         copy = self._copies[table]
-        encoded = [(row.key, row.version, row.value) for row in rows]
+        epoch, number = copy.version
+        encoded = [(row.key, row.version.number, row.value) for row in rows]
+        after_number = None if after is None else after.number
         now = time.monotonic()
         age_s = now - copy.fresh_at
-        return frames.Rows(table, after, copy.version, encoded, age_s, now, requested_at)
+        return frames.Rows(table, after_number, number, encoded, age_s, now, requested_at, epoch)
 
     def _table_ages(self, requested_at: float | None = None) -> frames.TableAges:
         now = time.monotonic()
-        ages = {
-            table: (copy.version, round(now - copy.fresh_at, 3))
+        told = {
+            table: copy
             for table, copy in self._copies.items()
-            if copy.version >= 0 and table != members.TABLE
+            if copy.is_listed and table != members.TABLE
+        }
+        ages = {
+            table: (copy.version.number, round(now - copy.fresh_at, 3))
+            for table, copy in told.items()
         }
-        return frames.TableAges(ages, now, requested_at, self._is_receiving())
+        epochs = {table: copy.version.epoch for table, copy in told.items()}
+        return frames.TableAges(ages, now, requested_at, self._is_receiving(), epochs)
 
 
 def _sent_at(peer_link: link.Link, frame: frames.Rows | frames.TableAges) -> float:
--- a/waxwingspool/fleet/tests/model.py
+++ b/waxwingspool/fleet/tests/model.py
@@ -15,7 +15,7 @@
 from unittest import mock
 
 from standins import virtual
-from waxwingspool.catalog import node
+from waxwingspool.catalog import node, store_version
 from waxwingspool.dispatch import election
 from waxwingspool.fleet import frames, link, members, tables
 from waxwingspool.fleet import store as store_client
@@ -175,17 +175,26 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         await asyncio.sleep(STORE_DELAY_S)
         after = int(query.get("after", -1))
+        epoch = self._region.epoch
+        if after > self._region.version:
+            return self._respond(410, b"{}")
         ends_at = self._region.loop.time() + int(query.get("wait-ms", 0)) / 1000
         while not self._region.changes(query["table"], after):
             if self._region.loop.time() >= ends_at:
                 break
             await asyncio.sleep(0.02)
+            if self._region.epoch != epoch:
+                # The store that held the call has gone.
+                raise self.failure
         await asyncio.sleep(self._region.store_delay_s)
         await self._check_path()
         data = self._region.encode_page(query["table"], after)
         await asyncio.sleep(STORE_DELAY_S)
         if self._owner.store_refuses:
             raise self.failure
+        return self._respond(200, data)
+
+    def _respond(self, status: int, data: bytes) -> upstream.Response:
         stream = body.Body(lambda: None, lambda: None)
 
         def feed(piece: bytes) -> None:
@@ -201,7 +210,8 @@
         else:
             receive(data)
 
-        return upstream.Response(200, b"", [], stream)
+        headers = [(store.EPOCH_HEADER, b"%d" % self._region.epoch)]
+        return upstream.Response(status, b"", headers, stream)
 
     async def _check_path(self) -> None:
         """Wait forever if the request or the response is lost."""
@@ -265,7 +275,7 @@
 
     def start(self) -> None:
         """Start, or start again with nothing of before."""
-        membership = members.Members(self.settings)
+        self.members = membership = members.Members(self.settings)
         self.links = link.Links(self.settings, self._receive, self._handle_lost_link)
         self.tables = tables.TableCopies(
             self.settings,
@@ -279,6 +289,13 @@
         )
         self._task = self._region.loop.create_task(self.tables.run())
 
+    def restart(self) -> None:
+        """Lose all links and start again with nothing of before."""
+        self._task.cancel()
+        for peer_link in list(self.links._links.values()):
+            peer_link.close()
+        self.start()
+
     def accept(self) -> link.Link:
         """Return the protocol of a link that a peer opens."""
         return link.Link("", self._receive, self._handle_lost_link)
@@ -307,6 +324,7 @@
     :ivar region_link: the link into region ``a``.
     :ivar store_delay_s: time in seconds that the store takes for a call, besides the way.
     :ivar encoded: bytes that were encoded since the last write.
+    :ivar epoch: epoch of the store; see :meth:`restore`.
     """
 
     def __init__(
@@ -321,10 +339,11 @@
         self.region_link = _Pipe(self.loop, region_mbps)
         self.loop.create_connection = self._connect
         self.version = self.store_calls = self.encoded = 0
+        self.epoch = 1
         self.store_delay_s = 0.0
         self.rows: dict[str, dict[str, store.Row]] = {"op": {}, "servers": {}, members.TABLE: {}}
         # Version, table and time of each change.
-        self._put_at: list[tuple[int, str, float]] = []
+        self._put_at: list[tuple[store_version.StoreVersion, str, float]] = []
         self._patches = [
             mock.patch.object(tables.time, "monotonic", self.loop.time),
             mock.patch.object(tables, "random", mock.Mock(Random=_seeded())),
@@ -364,8 +383,19 @@
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row to the store."""
         self.version += 1
-        self.rows[table][key] = store.Row(key, value, self.version)
-        self._put_at.append((self.version, table, self.loop.time()))
+        version = store_version.StoreVersion(self.epoch, self.version)
+        self.rows[table][key] = store.Row(key, value, version)
+        self._put_at.append((version, table, self.loop.time()))
+
+    def copy(self) -> tuple[int, dict[str, dict[str, store.Row]]]:
+        """Return a copy of the store."""
+        return self.version, {table: dict(rows) for table, rows in self.rows.items()}
+
+    def restore(self, copy: tuple[int, dict[str, dict[str, store.Row]]]) -> None:
+        """Lose what was written since a copy was made, and begin a new epoch."""
+        self.epoch += 1
+        self.version, rows = copy
+        self.rows = {table: dict(rows) for table, rows in rows.items()}
 
     def age_error_s(self) -> float:
         """Return by how much a table of a balancer is older than the balancer takes it to be.
@@ -382,12 +412,16 @@
 
     def changes(self, table: str, after: int) -> list[store.Row]:
         """Return the rows of a table that the store has after a version."""
-        return [row for row in self.rows[table].values() if row.version > after]
+        return [row for row in self.rows[table].values() if row.version.number > after]
 
     def encode_page(self, table: str, after: int) -> bytes:
         """Return the store's response with the changes of a table after a version."""
         rows = [
-            {"key": row.key, "ver": row.version, "value": base64.b64encode(row.value).decode()}
+            {
+                "key": row.key,
+                "ver": row.version.number,
+                "value": base64.b64encode(row.value).decode(),
+            }
             for row in self.changes(table, after)
         ]
         now_ms = int((self.loop.time() + STORE_CLOCK_AHEAD_S) * 1000)
--- a/waxwingspool/fleet/tests/test_row_order.py
+++ b/waxwingspool/fleet/tests/test_row_order.py
@@ -21,13 +21,13 @@
     """Return the row of upstream ``u`` with the report of a number, in a version of the store."""
     fields = {"seq": number, "state": state, "born": started_ms}
     entry = {**test_decoding.RegistrationTest.row, **fields}
-    return store.Row("u", json.dumps(entry).encode(), version)
+    return store.Row("u", json.dumps(entry).encode(), test_tables.version(version))
 
 
 def other_upstream() -> store.Row:
     """Return the row of upstream ``v``, which has another address."""
     entry = {**test_decoding.RegistrationTest.row, "address": "10.0.0.8:8080"}
-    return store.Row("v", json.dumps(entry).encode(), 9)
+    return store.Row("v", json.dumps(entry).encode(), test_tables.version(9))
 
 
 class LateReportTest(unittest.TestCase):
@@ -68,14 +68,15 @@
 
     def list_rows(self, *rows: store.Row, version: int = 0) -> None:
         """Read a listing from the store, at first or after its history is gone."""
-        version = version or max(row.version for row in rows)
-        page = store.Page(rows, version, False)
+        found = test_tables.version(version) if version else max(row.version for row in rows)
+        page = store.Page(rows, found, False)
         self.copies._merge_rows(TABLE, page, True, tables.STORE, self.now)
 
     def relay_rows(self, after: int | None, *rows: store.Row) -> None:
         """Receive rows from the reader."""
-        encoded = [(row.key, row.version, row.value) for row in rows]
-        frame = frames.Rows(TABLE, after, max(row.version for row in rows), encoded)
+        encoded = [(row.key, row.version.number, row.value) for row in rows]
+        newest = max(row.version.number for row in rows)
+        frame = frames.Rows(TABLE, after, newest, encoded)
         peer_link = mock.Mock(peer=test_tables.READER_IP)
         self.assertFalse(self.copies.receive_rows(peer_link, frame))
 
@@ -110,7 +111,7 @@
         self.check_drained()
 
     def test_late_report_does_not_bring_a_removed_upstream_back(self) -> None:
-        self.read_changes(report(10, 11, "draining"), store.Row("u", None, 12))
+        self.read_changes(report(10, 11, "draining"), test_tables.row("u", 12, None))
         self.read_changes(report(7, 13))
         self.check_drained()
         self.list_rows(report(7, 14), other_upstream())
@@ -139,31 +140,31 @@
         reader_link = mock.Mock(peer="p", to_local_time=lambda sent_at, _: sent_at)
         new_balancer.receive_rows(reader_link, listing)
         self.assertEqual([], told)
-        self.assertEqual(12, new_balancer.versions()[TABLE])
+        self.assertEqual(test_tables.version(12), new_balancer.versions()[TABLE])
 
     def test_restarted_upstream_is_used_at_once_although_its_numbers_are_lower(self) -> None:
         # Guards against an order that holds new starts back.
         self.read_changes(report(10, 11, "draining"))
         self.read_changes(report(0, 12, started_ms=STARTED_MS + 1))
         self.assertEqual(["u"], self.usable_ids())
-        self.read_changes(store.Row("u", None, 13))
+        self.read_changes(test_tables.row("u", 13, None))
         self.read_changes(report(0, 14, started_ms=STARTED_MS + 2))
         self.assertEqual(["u"], self.usable_ids())
 
     def test_upstream_whose_lease_lapsed_is_used_once_it_reports_again(self) -> None:
-        self.read_changes(store.Row("u", None, 11))
+        self.read_changes(test_tables.row("u", 11, None))
         self.read_changes(report(6, 12))
         self.assertEqual(["u"], self.usable_ids())
 
     def test_repeated_report_is_taken(self) -> None:
-        self.read_changes(store.Row("u", None, 11))
+        self.read_changes(test_tables.row("u", 11, None))
         self.read_changes(report(5, 12))
         self.assertEqual(["u"], self.usable_ids())
 
     def test_lower_number_is_taken_once_writes_are_no_longer_held_up(self) -> None:
         # Guards against a clock that was set back, or an odd entry, that bars an upstream for good.
         self.read_changes(report(10, 11, started_ms=STARTED_MS * 2))
-        self.read_changes(store.Row("u", None, 12))
+        self.read_changes(test_tables.row("u", 12, None))
         self.now += row_order.MAX_DELAY_S + 0.1
         self.read_changes(report(0, 13))
         self.assertEqual(["u"], self.usable_ids())
@@ -178,7 +179,7 @@
         entry = {**test_decoding.RegistrationTest.row}
         del entry["seq"]
         self.read_changes(report(10, 11, "draining"))
-        self.read_changes(store.Row("u", json.dumps(entry).encode(), 12))
+        self.read_changes(store.Row("u", json.dumps(entry).encode(), test_tables.version(12)))
         self.assertEqual(["u"], self.usable_ids())
 
     def test_late_report_is_logged(self) -> None:
@@ -194,7 +195,8 @@
         order = row_order.RowOrder(TABLE, lambda value: (1, int(value)), lambda: now)
         with mock.patch.object(row_order, "MAX_KEYS", 100):
             for number in range(1000):
-                order.replace_late([store.Row(f"u{number}", b"1", number)], {})
+                version = test_tables.version(number)
+                order.replace_late([store.Row(f"u{number}", b"1", version)], {})
         self.assertEqual(100, len(order._last))
         now = row_order.MAX_DELAY_S + 0.1
         order.replace_late([], {})
--- a/waxwingspool/fleet/tests/test_store.py
+++ b/waxwingspool/fleet/tests/test_store.py
@@ -29,15 +29,16 @@
     ) -> float:
         """Return by how much a reading is taken for older than it is, in seconds."""
 
-        async def call(*_: object) -> bytes:
+        async def call(*_: object) -> store._Answer:
             await asyncio.sleep(answer_delay_s)
             self.answered_at = self.loop.time()
             now_ms = (self.answered_at + self.clock_ahead_s) * 1000
             await asyncio.sleep(transit_s)
-            return b'{"ver": 7, "rows": [%b], "now-ms": %d}' % (rows.encode(), round(now_ms))
+            data = b'{"ver": 7, "rows": [%b], "now-ms": %d}' % (rows.encode(), round(now_ms))
+            return store._Answer(200, data, 0)
 
         self.client._call = call
-        task = self.loop.create_task(self.client.get_changes("op", 6, wait_s))
+        task = self.loop.create_task(self.client.get_changes("op", test_tables.version(6), wait_s))
         self.loop.advance(60.0)
         return self.answered_at - task.result().confirmed_at
 
@@ -101,7 +102,7 @@
         client._get_connection = mock.AsyncMock(return_value=connection)
         task = self.loop.create_task(client._call(b"GET", "/", b"", 0.0))
         self.loop.advance(60.0)
-        return task.result()
+        return task.result().data
 
     def test_large_response_that_keeps_arriving_is_not_abandoned(self) -> None:
         self.assertEqual(b"x" * 10, self.call([b"x"] * 10))
--- a/waxwingspool/fleet/tests/test_store_return.py
+++ b/waxwingspool/fleet/tests/test_store_return.py
@@ -74,7 +74,7 @@
             for number, bound_s in enumerate(self.disturb(region, _set_silent), start=1):
                 with self.subTest(number=number, readers=readers):
                     region.put("servers", "i-leaving", b"draining")
-                    version = region.version
+                    version = region.rows["servers"]["i-leaving"].version
                     region.loop.advance(bound_s)
                     known = [b.tables.versions()["servers"] for b in region.balancers.values()]
                     self.assertGreaterEqual(min(known), version)
@@ -90,7 +90,7 @@
                     _set_silent(balancers, True)
                     region.loop.advance(2.0)
                     region.put(members.TABLE, f"10.0.0.{100 + number}", b"{}")
-                    joined_in = region.version
+                    joined_in = region.rows[members.TABLE][f"10.0.0.{100 + number}"].version
                     region.loop.advance(1.0)
                     _set_silent(balancers, False)
                     region.loop.advance(STABILITY_WINDOW_S)
--- a/waxwingspool/fleet/tests/test_tables.py
+++ b/waxwingspool/fleet/tests/test_tables.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from waxwingspool import exceptions
-from waxwingspool.catalog import node
+from waxwingspool.catalog import node, store_version
 from waxwingspool.fleet import clock, frames, link, members, table_copy, tables
 from waxwingspool.fleet import store as store_client
 from waxwingspool.platform import store
@@ -37,13 +37,18 @@
     )
 
 
-def row(key: str, version: int, value: bytes | None = b"x") -> store.Row:
-    return store.Row(key, value, version)
+def version(number: int, epoch: int = 0) -> store_version.StoreVersion:
+    return store_version.StoreVersion(epoch, number)
 
 
-def reading(version: int, *rows: store.Row) -> store_client.Reading:
+def row(key: str, number: int, value: bytes | None = b"x", epoch: int = 0) -> store.Row:
+    return store.Row(key, value, version(number, epoch))
+
+
+def reading(number: int, *rows: store.Row, epoch: int = 0) -> store_client.Reading:
     """Return what was read from the store at this moment."""
-    return store_client.Reading(store.Page(rows, version, False), time.monotonic())
+    page = store.Page(rows, version(number, epoch), False)
+    return store_client.Reading(page, time.monotonic())
 
 
 class FakeStoreClient:
@@ -52,6 +57,7 @@
     def __init__(self) -> None:
         self.responses: asyncio.Queue = asyncio.Queue()
         self.receiving = False
+        self.epoch = 0
         self.listing_calls = collections.Counter()
 
     @property
@@ -114,7 +120,7 @@
     async def test_rows_after_a_gap_are_rejected(self) -> None:
         self.receive("op", None, 10, ("config", 10, b"one"))
         self.assertTrue(self.receive("op", 12, 13, ("config", 13, b"three")))
-        self.assertEqual(10, self.tables.versions()["op"])
+        self.assertEqual(version(10), self.tables.versions()["op"])
 
     async def test_outdated_rows_are_ignored(self) -> None:
         self.receive("op", None, 10, ("config", 10, b"one"))
@@ -162,7 +168,7 @@
         async def get_changes(table: str, after: int, wait_s: float) -> store_client.Reading:
             waits_s.append(wait_s)
             await asyncio.sleep(0)
-            return reading(after)
+            return reading(after.number)
 
         self.client.get_changes = get_changes
         self.receive("op", None, 4)
@@ -532,7 +538,9 @@
         subscriber = mock.Mock()
         self.receive("op", None, 4, ("config", 4, b"x"))
         self.tables._subscribers.add(subscriber)
-        self.tables._merge_rows("op", store.Page((), 9, False), False, tables.STORE, self.now)
+        self.tables._merge_rows(
+            "op", store.Page((), version(9), False), False, tables.STORE, self.now
+        )
         sent = bytearray(subscriber.send_encoded.call_args.args[0])
         first, second = (frames.decode(data) for data in frames.split(sent))
         self.assertEqual(frames.Rows("op", 4, 9, [], 0.0, self.now), first)
@@ -559,7 +567,7 @@
         with mock.patch.object(table_copy, "MAX_DELETIONS", 1):
             self.receive("op", 4, 9, ("a", 6, None), ("b", 8, None))
         self.assertIsNone(self.subscribe(8).after)
-        self.assertEqual(9, self.tables._copies["op"].deletions_since)
+        self.assertEqual(version(9), self.tables._copies["op"].deletions_since)
 
     async def test_row_that_returns_after_its_deletion_is_no_deletion(self) -> None:
         self.receive("op", None, 4, ("config", 3, b"c"))
@@ -575,7 +583,7 @@
             await self.client.responses.put(reading(7, row("config", 7)))
             for _ in range(20):
                 await asyncio.sleep(0)
-        self.assertEqual(7, self.tables.versions()["op"])
+        self.assertEqual(version(7), self.tables.versions()["op"])
         self.tables._stop_reading()
 
 
--- a/waxwingspool/platform/registration.py
+++ b/waxwingspool/platform/registration.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from waxwingspool.catalog import node, upstreams
+from waxwingspool.catalog import node, store_version, upstreams
 from waxwingspool.platform import settings
 
 __all__ = ["TABLE", "decode", "read_position"]
@@ -55,7 +55,9 @@
     return parsed[0].born, parsed[0].seq
 
 
-def decode(id_: str, value: bytes, row_version: int, now: float) -> upstreams.Upstream | None:
+def decode(
+    id_: str, value: bytes, row_version: store_version.StoreVersion, now: float
+) -> upstreams.Upstream | None:
     """Return the upstream that a row describes.
 
     :param id_: key of the row.
--- a/waxwingspool/platform/store.py
+++ b/waxwingspool/platform/store.py
@@ -8,14 +8,17 @@
 import msgspec
 
 from waxwingspool import exceptions
+from waxwingspool.catalog import store_version
 
 __all__ = [
+    "EPOCH_HEADER",
     "MAX_ROWS",
     "Page",
     "Row",
     "changes_request",
     "decode_page",
     "listing_request",
+    "parse_epoch",
     "put_request",
 ]
 
@@ -25,6 +28,10 @@
 # Field that each row has once; quotes within texts are escaped.
 _ROW_MARK = b'"key"'
 
+# Header of all responses with the number of the store's epoch, and its longest text in characters.
+EPOCH_HEADER = b"store-era"
+MAX_EPOCH_CHARS = 15
+
 _Version = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
@@ -34,7 +41,7 @@
 
     key: str
     value: bytes | None
-    version: int
+    version: store_version.StoreVersion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +55,7 @@
     """
 
     rows: tuple[Row, ...]
-    version: int
+    version: store_version.StoreVersion
     has_more: bool
     clock_s: float | None = None
 
@@ -114,20 +121,41 @@
     return "/v1/rows-tx", msgspec.json.encode(transaction)
 
 
-def decode_page(body: bytes) -> Page:
+def parse_epoch(value: bytes | None) -> int | None:
+    """Return the epoch that a response tells, ``None`` if it has no header for it.
+
+    :raises waxwingspool.exceptions.StoreUnavailable: the header can't be read.
+
+    >>> parse_epoch(b"3")
+    3
+    """
+    if value is None:
+        return None
+    if len(value) > MAX_EPOCH_CHARS or not value.isdigit():
+        raise exceptions.StoreUnavailable(f"unreadable epoch: {value[:MAX_EPOCH_CHARS]!r}")
+    return int(value)
+
+
+def decode_page(body: bytes, epoch: int) -> Page:
     """Decode the body of a response; rows of other parts than the empty one are left out.
 
+    :param epoch: epoch in which the store responded.
     :raises waxwingspool.exceptions.StoreUnavailable: if the body is malformed.
     """
     if body.count(_ROW_MARK) > MAX_ROWS:
         raise exceptions.StoreUnavailable(f"a response of over {MAX_ROWS} rows")
     try:
         page = _decoder.decode(body)
-        rows = tuple(Row(row.key, _decode_value(row), row.ver) for row in page.rows if not row.part)
+        rows = tuple(
+            Row(row.key, _decode_value(row), store_version.StoreVersion(epoch, row.ver))
+            for row in page.rows
+            if not row.part
+        )
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise exceptions.StoreUnavailable(f"malformed response: {error}") from error
     clock_s = None if page.now_ms is None else page.now_ms / 1000
-    return Page(rows, page.ver, page.has_more, clock_s)
+    version = store_version.StoreVersion(epoch, page.ver)
+    return Page(rows, version, page.has_more, clock_s)
 
 
 def _decode_value(row: _Row) -> bytes | None:
--- a/waxwingspool/platform/tests/test_decoding.py
+++ b/waxwingspool/platform/tests/test_decoding.py
@@ -6,9 +6,11 @@
 from unittest import mock
 
 from waxwingspool import exceptions
-from waxwingspool.catalog import routes
+from waxwingspool.catalog import routes, store_version
 from waxwingspool.platform import configuration, headers, registration, settings, store
 
+VERSION = store_version.StoreVersion(1, 3)
+
 SETTINGS_FILE = """
 [self]
 node = "edge-1"
@@ -110,7 +112,7 @@
 
     def decode(self, **changes: object):
         value = json.dumps({**self.row, **changes}).encode()
-        return registration.decode("i-1", value, 3, 10.0)
+        return registration.decode("i-1", value, VERSION, 10.0)
 
     def test_valid_row_is_decoded(self) -> None:
         upstream = self.decode()
@@ -129,7 +131,7 @@
         ):
             with self.subTest(changes):
                 self.assertIsNone(self.decode(**changes))
-        self.assertIsNone(registration.decode("i-1", b"\xff\x00", 3, 10.0))
+        self.assertIsNone(registration.decode("i-1", b"\xff\x00", VERSION, 10.0))
 
 
 class LoadTest(unittest.TestCase):
@@ -161,8 +163,8 @@
             {"key": "a", "ver": 4, "value": base64.b64encode(b"x").decode()},
             {"key": "b", "ver": 5, "tombstone": True},
         ]
-        page = store.decode_page(json.dumps({"rows": rows, "ver": 9, "now-ms": 1}).encode())
-        self.assertEqual((9, False), (page.version, page.has_more))
+        page = store.decode_page(json.dumps({"rows": rows, "ver": 9, "now-ms": 1}).encode(), 1)
+        self.assertEqual(((1, 9), False), (page.version, page.has_more))
         self.assertEqual([b"x", None], [row.value for row in page.rows])
 
     def test_row_of_another_part_is_not_taken_for_the_configuration(self) -> None:
@@ -172,9 +174,10 @@
             {"part": "p", "key": "config", "ver": 5, "value": value},
             {"part": "p", "key": "config", "ver": 6, "tombstone": True},
         ]
-        page = store.decode_page(json.dumps({"rows": rows, "ver": 9, "now-ms": 1}).encode())
-        self.assertEqual((store.Row("config", b"x", 4),), page.rows)
-        self.assertEqual(9, page.version)
+        page = store.decode_page(json.dumps({"rows": rows, "ver": 9, "now-ms": 1}).encode(), 1)
+        expected = store.Row("config", b"x", store_version.StoreVersion(1, 4))
+        self.assertEqual((expected,), page.rows)
+        self.assertEqual((1, 9), page.version)
 
     def test_response_of_too_many_rows_is_not_decoded(self) -> None:
         # Guards against a response that takes more memory than the process may have.
@@ -183,10 +186,10 @@
             mock.patch.object(store, "_decoder") as decoder,
             self.assertRaisesRegex(exceptions.StoreUnavailable, "rows"),
         ):
-            store.decode_page(b'{"ver": 1, "rows": [%b]}' % rows)
+            store.decode_page(b'{"ver": 1, "rows": [%b]}' % rows, 1)
         decoder.decode.assert_not_called()
 
     def test_malformed_response_counts_as_an_outage(self) -> None:
         for body in (b"", b"{}", b'{"ver": 1, "rows": [{"key": "a", "ver": 1, "value": "?"}]}'):
             with self.subTest(body), self.assertRaises(exceptions.StoreUnavailable):
-                store.decode_page(body)
+                store.decode_page(body, 1)
--- a/waxwingspool/platform/tests/test_odd_entries.py
+++ b/waxwingspool/platform/tests/test_odd_entries.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from waxwingspool import exceptions
-from waxwingspool.catalog import upstreams
+from waxwingspool.catalog import store_version, upstreams
 from waxwingspool.dispatch import limits
 from waxwingspool.edge import view
 from waxwingspool.fleet import frames, link, members, tables
@@ -18,6 +18,7 @@
 NESTED_OBJECTS = '{"a":' * 100_000 + "1" + "}" * 100_000
 SOUND = test_decoding.RegistrationTest.row
 DIGITS = "9" * 400
+VERSION = store_version.StoreVersion(1, 3)
 # Fields that make an entry of an upstream unusable, as JSON.
 ODD_FIELDS = (
     ("more", NESTED),
@@ -58,18 +59,18 @@
         for field, text in ODD_FIELDS:
             with self.subTest(field=field, text=text[:40]):
                 value = entry(**{field: text})
-                self.assertIsNone(registration.decode("i-1", value, 3, 10.0))
+                self.assertIsNone(registration.decode("i-1", value, VERSION, 10.0))
 
     def test_id_that_is_no_token_names_no_upstream(self) -> None:
         for id_ in ODD_IDS:
             with self.subTest(id_[:20]):
-                self.assertIsNone(registration.decode(id_, entry(), 3, 10.0))
+                self.assertIsNone(registration.decode(id_, entry(), VERSION, 10.0))
 
     def test_any_bytes_are_an_upstream_in_range_or_none(self) -> None:
         rng = random.Random(1)
         for _ in range(3000):
             value = mutate(rng, entry())
-            found = registration.decode("i-1", value, 3, 10.0)
+            found = registration.decode("i-1", value, VERSION, 10.0)
             if found is not None:
                 self.assertIn(found.address[1], range(1, 65536))
                 self.assertLessEqual(1, limits.ConcurrencyLimit().value(found.slots))
@@ -112,13 +113,12 @@
                 with self.subTest(field=field, text=text[:40], complete=complete):
                     self.setUp()
                     rows = (
-                        store.Row("i-1", entry(), 5),
-                        store.Row("i-2", entry(**{field: text}), 6),
-                        store.Row("i-3", entry(address='"10.0.0.8:1"'), 7),
-                    )
-                    self.copies._merge_rows(
-                        "servers", store.Page(rows, 9, False), complete, tables.STORE, 0.0
+                        test_tables.row("i-1", 5, entry()),
+                        test_tables.row("i-2", 6, entry(**{field: text})),
+                        test_tables.row("i-3", 7, entry(address='"10.0.0.8:1"')),
                     )
+                    page = store.Page(rows, test_tables.version(9), False)
+                    self.copies._merge_rows("servers", page, complete, tables.STORE, 0.0)
                     self.check_sound_rows_hold("i-2")
 
     def test_link_stays_open_when_a_peer_tells_an_odd_row(self) -> None:
@@ -186,19 +186,19 @@
         for text in (NESTED, NESTED_OBJECTS):
             for body in (text, f'{{"ver":1,"x":{text}}}', f'{{"ver":1,"rows":[{text}]}}'):
                 with self.subTest(body[:20]), self.assertRaises(exceptions.StoreUnavailable):
-                    store.decode_page(body.encode())
+                    store.decode_page(body.encode(), 1)
 
     def test_page_out_of_range_counts_as_an_outage(self) -> None:
         for body in (f'{{"ver":{DIGITS}}}', f'{{"ver":1,"now-ms":{DIGITS}}}', '{"ver":-9}'):
             with self.subTest(body[:20]), self.assertRaises(exceptions.StoreUnavailable):
-                store.decode_page(body.encode())
+                store.decode_page(body.encode(), 1)
 
     def test_any_bytes_are_a_page_or_an_outage(self) -> None:
         rng = random.Random(3)
         body = b'{"ver":9,"now-ms":1.5,"rows":[{"key":"a","ver":4,"value":"eA=="}]}'
         for _ in range(3000):
             try:
-                store.decode_page(mutate(rng, body))
+                store.decode_page(mutate(rng, body), 1)
             except exceptions.StoreUnavailable:
                 pass
 
