Leave out rows of upstreams that were removed after the store's copy was made

Callers would have been sent to an upstream that had left: a store that comes back from a copy shows the row that was removed since, and with the versions of epochs in order that row is new.

Cause: of the reports of one writer, the order kept the last position beyond the deletion of its row, but a report in the same position counted as a repeated one, which an upstream may write again. Deletions that a balancer saw only as missing from a listing were not recorded.

Change: the order records in which version a row was deleted, also for rows that a listing of the same epoch lacks.

Evidence: three of the eight tests of edge/tests/test_restored_upstreams.py fail without the change (removed upstream is not taken back: read from the store, known from a listing, told by a peer).

--- /dev/null
+++ b/waxwingspool/edge/tests/test_restored_upstreams.py
@@ -0,0 +1,87 @@
+"""Upstreams around the return of the store from a copy."""
+
+from unittest import mock
+
+from waxwingspool.fleet import frames
+from waxwingspool.fleet.tests import test_row_order, test_tables
+
+TABLE = test_row_order.TABLE
+report, other = test_row_order.report, test_row_order.other_upstream
+# Epoch of the store after its return; the first listing is of epoch 0.
+EPOCH = 1
+
+
+class RestoredCase(test_row_order.CopiesCase):
+    """Upstream ``u`` is known from report 5, in version 10 of the store."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        patcher = mock.patch.object(test_row_order.view.eventlog, "event")
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def restore(self, *rows: test_row_order.store.Row, version: int = 10) -> None:
+        """List the rows of the restored store."""
+        self.list_rows(*rows, version=version, epoch=EPOCH)
+
+
+class RestoredRowsTest(RestoredCase):
+    def test_upstream_that_reported_draining_is_not_taken_back(self) -> None:
+        # Guards against the older report in the copy, from before the upstream drained.
+        self.read_changes(report(6, 900, "draining"))
+        self.restore(report(5, 10, epoch=EPOCH), other(EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_removed_upstream_is_not_taken_back(self) -> None:
+        # Guards against the row in the copy, which is the one that was removed.
+        self.read_changes(test_tables.row("u", 900, None))
+        self.restore(report(5, 10, epoch=EPOCH), other(EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+        self.read_changes(report(5, 11, epoch=EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_removed_upstream_is_not_taken_back_if_a_listing_showed_its_removal(self) -> None:
+        # Guards against removals that a balancer missed as changes.
+        self.list_rows(other(), version=900)
+        self.restore(report(5, 10, epoch=EPOCH), other(EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_removed_upstream_that_a_peer_relays_is_not_taken_back(self) -> None:
+        # Guards against a reader that did not know the removal.
+        self.read_changes(test_tables.row("u", 900, None))
+        row = report(5, 10, epoch=EPOCH)
+        frame = frames.Rows(TABLE, None, 10, [(row.key, 10, row.value)], epoch=EPOCH)
+        self.copies.receive_rows(mock.Mock(peer=test_tables.READER_IP), frame)
+        self.check_drained()
+
+    def test_removed_upstream_is_taken_once_it_reports_again(self) -> None:
+        self.read_changes(test_tables.row("u", 900, None))
+        self.restore(report(5, 10, epoch=EPOCH))
+        self.read_changes(report(6, 11, epoch=EPOCH))
+        self.assertEqual(["u"], self.usable_ids())
+
+    def test_known_report_is_replaced_by_the_next_one_although_its_version_is_lower(self) -> None:
+        # Guards against a kept row that has a version of the earlier epoch.
+        self.read_changes(report(7, 900))
+        self.restore(report(5, 10, epoch=EPOCH), other(EPOCH))
+        self.read_changes(report(8, 12, "draining", epoch=EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_kept_row_reaches_followers_in_the_epoch_of_its_copy(self) -> None:
+        # Guards against a follower that takes the number of the lost version for one of the epoch.
+        self.read_changes(report(6, 900, "draining"))
+        subscriber = mock.Mock(peer="10.0.0.7")
+        self.copies.add_subscriber(subscriber, frames.Subscribe({TABLE: 900}, 0.0))
+        self.restore(report(5, 10, epoch=EPOCH))
+        data = bytearray(subscriber.send_encoded.call_args.args[0])
+        rows = frames.decode(next(frames.split(data)))
+        self.assertEqual(
+            (EPOCH, [("u", 10)]), (rows.epoch, [(key, number) for key, number, _ in rows.rows])
+        )
+
+    def test_new_start_that_the_copy_lacks_takes_precedence_over_the_former_one(self) -> None:
+        # Guards against a request that names a start of the upstream that has ended.
+        later_ms = test_row_order.STARTED_MS + 60_000
+        self.read_changes(report(1, 900, started_ms=later_ms))
+        self.restore(report(5, 10, epoch=EPOCH))
+        self.assertEqual([later_ms], [upstream.started_ms for upstream in self.usable])
--- a/waxwingspool/fleet/row_order.py
+++ b/waxwingspool/fleet/row_order.py
@@ -9,12 +9,16 @@
 What was reported is remembered beyond the deletion of the row, for as long as writes may be held
 up. After that time, and for rows without a position, the store's order counts, so that a writer
 whose clock was set back is not ignored for good.
+
+A store that was restored from a copy shows rows that have been deleted since. Their reports are
+those that were deleted, so they are left out until the writer reports again.
 """
 
 import collections
 import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
+from waxwingspool.catalog import store_version
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import store
 
@@ -32,6 +36,19 @@
 ReadPosition = Callable[[bytes], Position | None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    """The last report of a writer.
+
+    :ivar recorded_at: monotonic time in seconds.
+    :ivar deleted_in: version of the store in which its row was deleted, ``None`` if it was not.
+    """
+
+    position: Position
+    recorded_at: float
+    deleted_in: store_version.StoreVersion | None = None
+
+
 class RowOrder:
     """Positions of the last reports in one table.
 
@@ -40,7 +57,6 @@
     :param clock: returns the monotonic time in seconds.
 
     >>> order = RowOrder("t", lambda value: (1, int(value)), lambda: 0.0)
-    >>> from waxwingspool.catalog import store_version
     >>> newer = store.Row("a", b"10", store_version.StoreVersion(1, 5))
     >>> late = store.Row("a", b"7", store_version.StoreVersion(1, 6))
     >>> [row.value for row in order.replace_late([newer], {})]
@@ -53,8 +69,8 @@
         self._table = table
         self._read_position = read_position
         self._clock = clock
-        # Positions and when they were recorded, by key; the oldest record comes first.
-        self._last: collections.OrderedDict[str, tuple[Position, float]] = collections.OrderedDict()
+        # Last reports by key; the oldest record comes first.
+        self._last: collections.OrderedDict[str, _Report] = collections.OrderedDict()
 
     def replace_late(
         self, rows: Iterable[store.Row], known: Mapping[str, store.Row]
@@ -76,45 +92,73 @@
                 ordered.append(_keep(known[row.key], row))
         return ordered
 
+    def record_unlisted(
+        self,
+        listed: Iterable[store.Row],
+        known: Mapping[str, store.Row],
+        version: store_version.StoreVersion,
+    ) -> None:
+        """Record that the known rows that a listing lacks have been deleted.
+
+        :param version: version of the listing. In a later epoch, a row may be missing because the
+            copy from which the store was restored is older.
+        """
+        missing = known.keys() - {row.key for row in listed}
+        for key in missing:
+            if known[key].version.epoch == version.epoch:
+                self._record_deletion(known[key], version)
+
     def _is_late(self, row: store.Row, known: store.Row | None) -> bool:
         """Return whether a newer report than a row is remembered; remember the row if not."""
         if row.value is None:
-            # The deletion is newer than the report that it deletes.
-            deleted = None if known is None else self._read_position(known.value)
-            if deleted is not None:
-                self._record(row.key, deleted)
+            if known is not None:
+                self._record_deletion(known, row.version)
             return False
         position = self._read_position(row.value)
         if position is None:
             return False
         last = self._last.get(row.key)
-        if last is not None and position < last[0]:
+        if last is not None and self._is_older(row, position, last):
             eventlog.event(
                 "row.late",
                 table=self._table,
                 key=row.key,
                 row=row.version,
                 position=position,
-                newer=last[0],
-                age_s=self._clock() - last[1],
+                newer=last.position,
+                deleted=last.deleted_in,
+                age_s=self._clock() - last.recorded_at,
             )
             return True
         if known is None or known.version != row.version:
             self._record(row.key, position)
         return False
 
-    def _record(self, key: str, position: Position) -> None:
+    def _is_older(self, row: store.Row, position: Position, last: _Report) -> bool:
+        """Return whether the report in a row is older than the last one, or deleted with it."""
+        is_restored = last.deleted_in is not None and last.deleted_in.epoch < row.version.epoch
+        return position < last.position or (is_restored and position == last.position)
+
+    def _record_deletion(self, row: store.Row, version: store_version.StoreVersion) -> None:
+        """Record that a row was deleted; the deletion is newer than the report in it."""
+        position = self._read_position(row.value)
+        if position is not None:
+            self._record(row.key, position, version)
+
+    def _record(
+        self, key: str, position: Position, deleted_in: store_version.StoreVersion | None = None
+    ) -> None:
         last = self._last.pop(key, None)
-        if last is not None and last[0] > position:
-            position = last[0]
-        self._last[key] = position, self._clock()
+        if last is not None and last.position > position:
+            position = last.position
+        self._last[key] = _Report(position, self._clock(), deleted_in)
         if len(self._last) > MAX_KEYS:
             self._last.popitem(last=False)
 
     def _forget(self) -> None:
         """Forget the reports after which no late one can arrive any more."""
         oldest_at = self._clock() - MAX_DELAY_S
-        while self._last and next(iter(self._last.values()))[1] < oldest_at:
+        while self._last and next(iter(self._last.values())).recorded_at < oldest_at:
             self._last.popitem(last=False)
 
 
--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -722,7 +722,7 @@
         version = page.version
         if version < copy.version:
             return
-        rows = self._order_rows(table, page.rows)
+        rows = self._order_rows(table, page, complete)
         self._mark_fresh(copy, confirmed_at)
         previous_version = copy.version
         restored = complete and copy.is_listed and version.epoch > previous_version.epoch
@@ -750,10 +750,14 @@
             table, previous_version, updates if changed else (), complete and changed
         )
 
-    def _order_rows(self, table: str, rows: Iterable[store.Row]) -> Iterable[store.Row]:
+    def _order_rows(self, table: str, page: store.Page, complete: bool) -> Iterable[store.Row]:
         """Return rows with those replaced that are older than what their writer reported last."""
-        order = self._orders.get(table)
-        return rows if order is None else order.replace_late(rows, self._copies[table].rows)
+        order, known = self._orders.get(table), self._copies[table].rows
+        if order is None:
+            return page.rows
+        if complete:
+            order.record_unlisted(page.rows, known, page.version)
+        return order.replace_late(page.rows, known)
 
     def _mark_fresh(self, copy: table_copy.TableCopy, confirmed_at: float) -> None:
         """Record that the store confirmed a copy, and detect the end of an outage.
--- a/waxwingspool/fleet/tests/test_row_order.py
+++ b/waxwingspool/fleet/tests/test_row_order.py
@@ -16,21 +16,27 @@
 
 
 def report(
-    number: int, version: int, state: str = "ready", started_ms: int = STARTED_MS
+    number: int,
+    version: int,
+    state: str = "ready",
+    started_ms: int = STARTED_MS,
+    epoch: int = 0,
 ) -> store.Row:
     """Return the row of upstream ``u`` with the report of a number, in a version of the store."""
     fields = {"seq": number, "state": state, "born": started_ms}
     entry = {**test_decoding.RegistrationTest.row, **fields}
-    return store.Row("u", json.dumps(entry).encode(), test_tables.version(version))
+    return store.Row("u", json.dumps(entry).encode(), test_tables.version(version, epoch))
 
 
-def other_upstream() -> store.Row:
+def other_upstream(epoch: int = 0) -> store.Row:
     """Return the row of upstream ``v``, which has another address."""
     entry = {**test_decoding.RegistrationTest.row, "address": "10.0.0.8:8080"}
-    return store.Row("v", json.dumps(entry).encode(), test_tables.version(9))
+    return store.Row("v", json.dumps(entry).encode(), test_tables.version(9, epoch))
 
 
-class LateReportTest(unittest.TestCase):
+class CopiesCase(unittest.TestCase):
+    """A balancer with the tables and what it takes from them."""
+
     def setUp(self) -> None:
         self.now = 1000.0
         patcher = mock.patch.object(tables.time, "monotonic", lambda: self.now)
@@ -43,14 +49,14 @@
     def start_balancer(self, on_upstreams) -> tables.TableCopies:
         node_settings = test_tables.make_settings()
         membership = members.Members(node_settings)
-        balancer_view = view.View(node_settings, membership, on_upstreams, mock.Mock())
+        self.view = view.View(node_settings, membership, on_upstreams, mock.Mock())
         return tables.TableCopies(
             node_settings,
             mock.Mock(),
             mock.Mock(),
             membership,
             view.TABLES,
-            balancer_view.update,
+            self.view.update,
             mock.Mock(),
             view.POSITION_READERS,
         )
@@ -66,9 +72,11 @@
         page = store.Page(rows, max(row.version for row in rows), False)
         self.copies._merge_rows(TABLE, page, False, tables.STORE, self.now)
 
-    def list_rows(self, *rows: store.Row, version: int = 0) -> None:
+    def list_rows(self, *rows: store.Row, version: int = 0, epoch: int = 0) -> None:
         """Read a listing from the store, at first or after its history is gone."""
-        found = test_tables.version(version) if version else max(row.version for row in rows)
+        found = test_tables.version(version, epoch)
+        if not version:
+            found = max(row.version for row in rows)
         page = store.Page(rows, found, False)
         self.copies._merge_rows(TABLE, page, True, tables.STORE, self.now)
 
@@ -83,6 +91,8 @@
     def check_drained(self) -> None:
         self.assertEqual([], self.usable_ids())
 
+
+class LateReportTest(CopiesCase):
     def test_late_report_does_not_take_a_draining_upstream_back(self) -> None:
         # Guards against a heartbeat that was held up and undoes a later report of draining.
         self.read_changes(report(10, 11, "draining"))
