Keep upstreams that a restored store lacks until they may have registered again

Callers would have got refusals: a store that comes back from a copy lacks the upstreams that have registered since the copy was made. They write themselves again within about two seconds, but the listing dropped them at once, a whole service if all of its upstreams are new.

Cause: a listing in which an upstream is missing meant its removal. Only after an outage of 2 s that the balancer had noticed, and only for half a service or more, was it kept.

Change: the first listing after a restoration starts the time to register again, and all missing upstreams that were not draining are kept until its end. A removal told by the store ends it as before, so that an upstream that leaves without a report of draining gets no new requests.

--- a/waxwingspool/catalog/upstreams.py
+++ b/waxwingspool/catalog/upstreams.py
@@ -5,11 +5,14 @@
 this time, the removals are delayed until its end, so that an outage does not leave a service
 without upstreams. Single removals take effect immediately: some upstreams that shut down are
 removed without having been marked as draining, and must get no new requests.
+
+A store that is restored from a copy lacks the upstreams that have registered since. Those that are
+alive register again within the same time, so all that are missing are kept until its end.
 """
 
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from waxwingspool.catalog import node, store_version
 
@@ -96,13 +99,18 @@
             else:
                 self._update(change)
 
-    def replace(self, upstreams: Iterable[Upstream]) -> None:
-        """Apply a complete listing; upstreams that are not listed are removed."""
+    def replace(self, upstreams: Iterable[Upstream], restored: bool = False) -> None:
+        """Apply a complete listing; upstreams that are not listed are removed.
+
+        :param restored: whether it is the first listing after the store was restored from a copy.
+        """
         listed = {upstream.id: upstream for upstream in upstreams}
+        if restored:
+            self._keep_missing(listed)
         removals = [
             Removal(id_, upstream.row_version)
             for id_, upstream in self._upstreams.items()
-            if id_ not in listed
+            if id_ not in listed and id_ not in self._removal_due_at
         ]
         self._record_lapses(removals)
         for removal in removals:
@@ -110,6 +118,13 @@
         for upstream in listed.values():
             self._update(upstream)
 
+    def _keep_missing(self, listed: Container[str]) -> None:
+        """Keep the upstreams that a restored store lacks until they may have registered again."""
+        self.record_store_recovery()
+        for id_, upstream in self._upstreams.items():
+            if id_ not in listed and not upstream.draining:
+                self._removal_due_at[id_] = self._reregistered_at
+
     def expire(self) -> None:
         """Remove the upstreams whose delayed removal is due."""
         now = self._clock()
--- a/waxwingspool/edge/tests/test_restored_upstreams.py
+++ b/waxwingspool/edge/tests/test_restored_upstreams.py
@@ -2,6 +2,7 @@
 
 from unittest import mock
 
+from waxwingspool.catalog import upstreams
 from waxwingspool.fleet import frames
 from waxwingspool.fleet.tests import test_row_order, test_tables
 
@@ -85,3 +86,53 @@
         self.read_changes(report(1, 900, started_ms=later_ms))
         self.restore(report(5, 10, epoch=EPOCH))
         self.assertEqual([later_ms], [upstream.started_ms for upstream in self.usable])
+
+
+class MissingUpstreamsTest(RestoredCase):
+    def test_upstream_that_started_after_the_copy_is_kept_until_it_can_report_again(self) -> None:
+        # Guards against a service without upstreams because the copy lacks their rows.
+        self.restore(other(EPOCH))
+        self.assertEqual(["u", "v"], self.usable_ids())
+        self.now += upstreams.REREGISTRATION_S - 0.1
+        self.view.expire()
+        self.assertEqual(["u", "v"], self.usable_ids())
+        self.read_changes(report(6, 11, epoch=EPOCH))
+        self.now += 1.0
+        self.view.expire()
+        self.assertEqual(["u", "v"], self.usable_ids())
+
+    def test_upstream_that_the_copy_lacks_is_dropped_if_it_does_not_report_again(self) -> None:
+        self.restore(other(EPOCH))
+        self.now += upstreams.REREGISTRATION_S + 0.1
+        self.view.expire()
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_second_listing_does_not_end_the_time_to_report_again(self) -> None:
+        # Guards against a history that is gone once more, right after the return.
+        self.restore(other(EPOCH))
+        self.restore(other(EPOCH), version=12)
+        self.assertEqual(["u", "v"], self.usable_ids())
+        self.now += upstreams.REREGISTRATION_S + 0.1
+        self.view.expire()
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_upstream_that_is_removed_after_the_return_is_dropped_at_once(self) -> None:
+        # Guards against a time to report again that outlasts a removal.
+        third = test_row_order.other_upstream(port=8081)
+        self.list_rows(report(5, 10), other(), third, version=900)
+        self.restore(other(EPOCH), test_tables.row(third.key, 9, third.value, EPOCH))
+        self.assertEqual(["u", "v", "v8081"], self.usable_ids())
+        self.read_changes(test_tables.row("u", 12, None, EPOCH))
+        self.assertEqual(["v", "v8081"], self.usable_ids())
+
+    def test_draining_upstream_that_the_copy_lacks_is_not_kept(self) -> None:
+        self.read_changes(report(6, 900, "draining"))
+        self.restore(other(EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_upstream_at_a_reused_address_is_not_hidden_by_the_former_one(self) -> None:
+        # Guards against the row of an upstream whose address belongs to another one since.
+        row = report(1, 901)
+        self.read_changes(test_tables.row("u", 900, None), test_tables.row("new", 901, row.value))
+        self.restore(report(5, 10, epoch=EPOCH))
+        self.assertEqual(["new"], self.usable_ids())
--- a/waxwingspool/edge/view.py
+++ b/waxwingspool/edge/view.py
@@ -63,7 +63,7 @@
         if update.table == configuration.TABLE:
             self._update_configuration(update)
         elif update.table == registration.TABLE:
-            self._update_upstreams(update.rows, update.complete)
+            self._update_upstreams(update)
         else:
             self._update_members(update.rows)
 
@@ -106,10 +106,10 @@
             )
             self._on_routes()
 
-    def _update_upstreams(self, rows: Iterable[store.Row], complete: bool) -> None:
+    def _update_upstreams(self, update: tables.Update) -> None:
         now = time.monotonic()
         changes: list[upstreams.Change] = []
-        for row in rows:
+        for row in update.rows:
             if row.value is None:
                 changes.append(upstreams.Removal(row.key, row.version))
                 continue
@@ -119,8 +119,9 @@
             else:
                 eventlog.event("upstream.unreadable", upstream=row.key, row=row.version)
                 changes.append(upstreams.Removal(row.key, row.version))
-        if complete:
-            self._registry.replace(c for c in changes if isinstance(c, upstreams.Upstream))
+        if update.complete:
+            listed = (change for change in changes if isinstance(change, upstreams.Upstream))
+            self._registry.replace(listed, update.restored)
         else:
             self._registry.apply(changes)
         self._publish_upstreams()
--- a/waxwingspool/fleet/tests/test_row_order.py
+++ b/waxwingspool/fleet/tests/test_row_order.py
@@ -28,10 +28,11 @@
     return store.Row("u", json.dumps(entry).encode(), test_tables.version(version, epoch))
 
 
-def other_upstream(epoch: int = 0) -> store.Row:
-    """Return the row of upstream ``v``, which has another address."""
-    entry = {**test_decoding.RegistrationTest.row, "address": "10.0.0.8:8080"}
-    return store.Row("v", json.dumps(entry).encode(), test_tables.version(9, epoch))
+def other_upstream(epoch: int = 0, port: int = 8080) -> store.Row:
+    """Return the row of upstream ``v``, or that of another one at a port of its own."""
+    entry = {**test_decoding.RegistrationTest.row, "address": f"10.0.0.8:{port}"}
+    key = "v" if port == 8080 else f"v{port}"
+    return store.Row(key, json.dumps(entry).encode(), test_tables.version(9, epoch))
 
 
 class CopiesCase(unittest.TestCase):
