Keep the configuration in force in the copies when a restored store shows an older one

Callers of a balancer that starts right after the store's return would have been handled by a route that had been left: the store shows the older configuration until the operator writes again, and the copies, from which balancers that start are told, took it.

Cause: only the routing table in force was kept from going back; the copy of the row was not.

Change: rows of the configuration are ordered by its version, like the reports of other writers, so that an older one is left out of the copies for 30 s. After that time the store's row counts again.

--- a/waxwingspool/edge/view.py
+++ b/waxwingspool/edge/view.py
@@ -15,6 +15,7 @@
 TABLES = (configuration.TABLE, registration.TABLE)
 # Tables whose rows are ordered by their writers.
 POSITION_READERS = {
+    configuration.TABLE: configuration.read_position,
     registration.TABLE: registration.read_position,
     members.TABLE: members.read_position,
 }
--- a/waxwingspool/platform/configuration.py
+++ b/waxwingspool/platform/configuration.py
@@ -7,7 +7,7 @@
 from waxwingspool import exceptions
 from waxwingspool.catalog import routes
 
-__all__ = ["KEY", "TABLE", "decode"]
+__all__ = ["KEY", "TABLE", "decode", "read_position"]
 
 # Store table and key of the newest configuration.
 TABLE = "op"
@@ -79,7 +79,24 @@
     clusters: list[_Cluster]
 
 
+class _Numbered(msgspec.Struct):
+    # A configuration of which only the version is decoded.
+    version: _Count
+
+
 _decoder = msgspec.json.Decoder(_Document, strict=False)
+_version_decoder = msgspec.json.Decoder(_Numbered, strict=False)
+
+
+def read_position(value: bytes) -> tuple[int, int] | None:
+    """Return the place of a row in the order of the operator's configurations.
+
+    :returns: ``None`` if the row tells no version.
+    """
+    try:
+        return _version_decoder.decode(value).version, 0
+    except (msgspec.DecodeError, RecursionError):
+        return None
 
 
 def decode(value: bytes) -> routes.RouteTable:
