Register a balancer again once a restored store has lost its row

Callers would have got more refusals after a restart: balancers that started after the copy of the store was made were not in it any more, and those that start later took too large a share of the upstreams' slots and rate limits, and did not choose the others as dispatcher or reader.

Cause: a balancer registered once in its life.

--- a/standins/tests/test_restored_store.py
+++ b/standins/tests/test_restored_store.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from standins.deployment import client, cluster
+from standins.deployment import client, cluster, store
 
 # Second byte of the loopback addresses, outside the ranges of the soak and the demo.
 SUBNET = 243
@@ -31,7 +31,7 @@
         try:
             await deployment.start()
             await wait_until(deployment, has_version(1))
-            copy = deployment.store.copy()
+            copy = without_members(deployment.store.copy())
             for _ in range(lost):
                 version = await deployment.configure()
             await wait_until(deployment, has_version(version))
@@ -44,6 +44,7 @@
             await wait_until(deployment, has_version(await deployment.configure()))
             await deployment.register("tags-0", "draining")
             await wait_until(deployment, avoids("tags-0", deployment))
+            await wait_until(deployment, is_registered(deployment))
         finally:
             await deployment.stop()
 
@@ -80,6 +81,22 @@
     return check
 
 
+def is_registered(deployment: cluster.Cluster):
+    """Return a check whether the store has the row of a balancer."""
+
+    async def check(node: cluster.Node) -> bool:
+        _, rows = deployment.store.copy()
+        return ("balancers", node.ip) in rows
+
+    return check
+
+
+def without_members(copy: store.Copy) -> store.Copy:
+    """Return a copy of the store from before the balancers started."""
+    version, rows = copy
+    return version, {key: row for key, row in rows.items() if key[0] != "balancers"}
+
+
 async def wait_until(deployment: cluster.Cluster, check, timeout_s: float = TIMEOUT_S) -> None:
     """Wait until a check of each balancer succeeds.
 
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -10,7 +10,7 @@
 from waxwingspool import exceptions
 from waxwingspool.catalog import node, routes, upstreams
 from waxwingspool.dispatch import budget, split
-from waxwingspool.edge import status, view
+from waxwingspool.edge import registration, status, view
 from waxwingspool.fleet import frames, link, members, probes, slots, tables
 from waxwingspool.fleet import store as store_client
 from waxwingspool.observe import counters, eventlog
@@ -31,9 +31,6 @@
 EXPIRY_INTERVAL_S = 0.25
 # Maximum number of connections waiting to be accepted.
 BACKLOG = 1024
-# Minimum delay before a failed registration is retried, in seconds; random jitter of up to the same
-# length is added.
-MIN_REGISTRATION_RETRY_S = 0.5
 
 
 class Process:
@@ -44,8 +41,8 @@
 
     def __init__(self, node_settings: node.NodeSettings) -> None:
         self._settings = node_settings
-        self._started_ms = round(time.time() * 1000)
-        self._members = members.Members(node_settings, self._started_ms)
+        started_ms = round(time.time() * 1000)
+        self._members = members.Members(node_settings, started_ms)
         self._links = link.Links(node_settings, self._handle_frame, self._handle_disconnect)
         self._slot_manager = slots.SlotManager(node_settings, self._members, self._links)
         self._pool = pool.Pool(node_settings.ip, headers.HEADER_NAMES.request_id)
@@ -54,13 +51,16 @@
             node_settings, self._members, self._update_upstreams, self._splitter.reset
         )
         self._client = store_client.StoreClient(node_settings)
+        self._registration = registration.Registration(
+            node_settings, self._client, self._members, started_ms
+        )
         self._tables = tables.TableCopies(
             node_settings,
             self._client,
             self._links,
             self._members,
             view.TABLES,
-            self._view.update,
+            self._update_rows,
             self._view.record_store_recovery,
             view.POSITION_READERS,
         )
@@ -93,7 +93,7 @@
         servers = await self._listen()
         tasks = supervisor.Supervisor("process")
         tasks.add("beliefs", self._tables.run)
-        tasks.add("register", self._register)
+        tasks.add("register", self._registration.run)
         tasks.add("slots", self._slot_manager.run)
         tasks.add("pool", self._pool.run)
         tasks.add("probes", self._prober.run)
@@ -171,25 +171,6 @@
 
     # Periodic work
 
-    async def _register(self) -> None:
-        """Write this balancer's row to the store, then sleep until cancelled.
-
-        The supervisor would restart a task that returns.
-        """
-        while True:
-            try:
-                await self._client.measure_rtt()
-                row = members.encode(self._settings, self._client.rtt_s, self._started_ms)
-                await self._client.put(members.TABLE, self._settings.ip, row)
-                eventlog.event(
-                    "member.registered", ip=self._settings.ip, store_rtt_s=self._client.rtt_s
-                )
-                break
-            except (exceptions.StoreUnavailable, store_client.HistoryGone) as error:
-                eventlog.event("member.not-registered", error=error)
-                await asyncio.sleep(MIN_REGISTRATION_RETRY_S * (1 + random.random()))
-        await asyncio.Event().wait()
-
     async def _expire_upstreams(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
@@ -197,6 +178,10 @@
 
     # Events
 
+    def _update_rows(self, update: tables.Update) -> None:
+        self._view.update(update)
+        self._registration.receive_rows(update)
+
     def _update_upstreams(self, usable: list[upstreams.Upstream]) -> None:
         self._slot_manager.update_upstreams(usable)
         self._pool.update_upstreams(usable)
