--- a/standins/deployment/planted.py
+++ b/standins/deployment/planted.py
@@ -12,6 +12,7 @@
 from waxwingspool.dispatch import budget, rates
 from waxwingspool.edge import process, view
 from waxwingspool.fleet import row_order, tables
+from waxwingspool.platform import configuration
 from waxwingspool.proxy import body, exchange, forward, upstream
 
 __all__ = ["FaultMix", "PLANTED_FAULTS", "PlantedFault"]
@@ -103,6 +104,7 @@
             self._copies[table].version = store_version.UNKNOWN
         original_merge_rows(self, table, page, complete, source, confirmed_at)
 
+    del view.POSITION_READERS[configuration.TABLE]
     view.View._update_configuration = accept_any_configuration
     tables.TableCopies._merge_rows = accept_any_rows
 
