Send nothing new to an upstream that says in its responses that it leaves

Callers saw 502 for payments that had begun: while the store was down, balancers went on sending payments to an upstream whose responses said that it was leaving, until it ended.

Cause: nothing read the header. Whether an upstream leaves was known from its row in the store only, so an outage of the store, or a row that went on saying ready, hid it.

Change: each response head tells, also of refusals, failures, interim responses, responses to other requests on the connection, requests that are cancelled afterwards, and health checks; 421 is of another upstream. A departure is that of one start of the upstream. It outweighs rows and dispatchers, holds while the store lists that start and 30 s longer, also beyond a return of the store from a copy. Other balancers are told in the next message about a slot, by a field that earlier versions of the program skip. A balancer that is granted a slot at an upstream that it knows to be leaving gives it back, and asks the dispatcher again without that upstream, before it takes one of its own share. Requests in flight end as they would.

--- a/standins/deployment/cluster.py
+++ b/standins/deployment/cluster.py
@@ -172,7 +172,7 @@
             "state": state,
             "warmup-left-ms": 0,
             "seq": report,
-            "born": 1,
+            "born": self.upstreams[id_].started_ms,
         }
         await self.store.put("servers", id_, entry)
         return report
--- a/standins/deployment/upstream.py
+++ b/standins/deployment/upstream.py
@@ -69,12 +69,17 @@
         response twice), ``"late"`` (sends a second copy ahead of the next response on the
         connection), ``"endless"`` (sends a head or body without end) or ``"shed"`` (refuses every
         request).
+    :ivar leaving: whether it says in all responses that it is leaving.
+    :ivar gone: whether its process has ended; connections are reset.
+    :ivar started_ms: start that it registers, as Unix time in milliseconds.
     """
 
     def __init__(self, id_: str, service: str, ledger: Ledger, rng: random.Random) -> None:
         self.id = id_
         self.service = service
         self.fault: str | None = None
+        self.leaving = self.gone = False
+        self.started_ms = 1
         self._ledger = ledger
         self._rng = rng
         self._rate_limit: float | None = None
@@ -96,20 +101,32 @@
         changes = self._ledger.rate_limits[self.id]
         changes.append((asyncio.get_running_loop().time(), rate))
 
+    def start_again(self) -> None:
+        """Start again under the same id, with nothing of before."""
+        self.leaving = self.gone = False
+        self.started_ms += 1
+        self._running = self._waiting = 0
+        self._slots = asyncio.Semaphore(SLOTS)
+
     def _status_headers(self) -> list[tuple[bytes, bytes]]:
-        """Return the headers that tell load and rate limit."""
+        """Return the headers that tell load, rate limit and departure."""
         load = b"%d,%d,%d,100" % (self._running, self._waiting, SLOTS)
         headers = [(b"x-server-load", load)]
         if self._rate_limit is not None:
             headers.append((b"server-limit", b"%g" % self._rate_limit))
+        if self.leaving:
+            headers.append((b"server-leaving", b"1"))
         return headers
 
     async def _handle(
         self, request: caller.Request, data: bytes, connection: caller.Connection
     ) -> tuple[int, list, bytes]:
+        if self.gone:
+            return 0, [], b""
         if request.path == "/health":
             self._ledger.probed_at[self.id].append(asyncio.get_running_loop().time())
-            return 200, [(b"x-instance-id", self.id.encode()), *self._status_headers()], b""
+            status = 503 if self.leaving else 200
+            return status, [(b"x-instance-id", self.id.encode()), *self._status_headers()], b""
         request_id = message.get_header(request.headers, b"x-request-id")
         echo_headers = [(b"x-request-id", request_id), *self._status_headers()]
         if message.get_header(request.headers, b"x-expect-instance") != self.id.encode():
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -11,7 +11,7 @@
 from waxwingspool.catalog import node, routes, upstreams
 from waxwingspool.dispatch import budget, split
 from waxwingspool.edge import registration, status, view
-from waxwingspool.fleet import frames, link, members, probes, slots, tables
+from waxwingspool.fleet import departures, frames, link, members, probes, slots, tables
 from waxwingspool.fleet import store as store_client
 from waxwingspool.observe import counters, eventlog
 from waxwingspool.platform import headers, settings
@@ -44,11 +44,18 @@
         started_ms = round(time.time() * 1000)
         self._members = members.Members(node_settings, started_ms)
         self._links = link.Links(node_settings, self._handle_frame, self._handle_disconnect)
-        self._slot_manager = slots.SlotManager(node_settings, self._members, self._links)
+        self._departures = departures.Departures(lambda: self._view.publish_upstreams())
+        self._slot_manager = slots.SlotManager(
+            node_settings, self._members, self._links, self._departures
+        )
         self._pool = pool.Pool(node_settings.ip, headers.HEADER_NAMES.request_id)
         self._splitter = split.Splitter(random.Random())
         self._view = view.View(
-            node_settings, self._members, self._update_upstreams, self._splitter.reset
+            node_settings,
+            self._members,
+            self._update_upstreams,
+            self._splitter.reset,
+            self._departures,
         )
         self._client = store_client.StoreClient(node_settings)
         self._registration = registration.Registration(
@@ -203,6 +210,8 @@
             self._tables.receive(peer_link, frame)
 
     def _handle_slot_frame(self, peer_link: link.Link, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.DEPARTURE_FRAMES) and frame.departures:
+            self._slot_manager.receive_departures(peer_link.peer, frame.departures)
         match frame:
             case frames.SlotRequest() if self._stopping.is_set():
                 peer_link.send(frames.Leaving())
--- a/waxwingspool/edge/tests/test_restored_upstreams.py
+++ b/waxwingspool/edge/tests/test_restored_upstreams.py
@@ -136,3 +136,44 @@
         self.read_changes(test_tables.row("u", 900, None), test_tables.row("new", 901, row.value))
         self.restore(report(5, 10, epoch=EPOCH))
         self.assertEqual(["new"], self.usable_ids())
+
+
+class DepartedUpstreamsTest(RestoredCase):
+    """Upstream ``u`` has said in a response that it is leaving; the store does not know."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        (upstream,) = self.usable
+        self.departures.record(upstream, "response", True)
+        self.check_drained()
+
+    def test_departed_upstream_is_not_taken_back_when_its_row_changes(self) -> None:
+        # Guards against an entry that goes on saying ready.
+        self.read_changes(report(6, 11))
+        self.check_drained()
+
+    def test_departed_upstream_is_not_taken_back_by_a_copy_in_which_its_row_stands(self) -> None:
+        # Guards against a restored store: versions of its epoch are newer than the removal.
+        self.restore(report(5, 10, epoch=EPOCH), other(EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+        self.read_changes(report(6, 12, epoch=EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_departed_upstream_is_not_kept_when_the_copy_lacks_it(self) -> None:
+        self.restore(other(EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_removed_and_departed_upstream_stays_away(self) -> None:
+        self.read_changes(test_tables.row("u", 900, None))
+        self.now += 10.0
+        self.view.expire()
+        self.restore(report(5, 10, epoch=EPOCH), other(EPOCH))
+        self.read_changes(report(6, 12, epoch=EPOCH))
+        self.assertEqual(["v"], self.usable_ids())
+
+    def test_new_start_is_used_at_once_around_a_return(self) -> None:
+        # Guards against a departure that outlives the start that it is about.
+        later_ms = test_row_order.STARTED_MS + 60_000
+        self.restore(report(5, 10, epoch=EPOCH))
+        self.read_changes(report(1, 12, started_ms=later_ms, epoch=EPOCH))
+        self.assertEqual(["u"], self.usable_ids())
--- a/waxwingspool/edge/tests/test_view.py
+++ b/waxwingspool/edge/tests/test_view.py
@@ -24,7 +24,8 @@
 class ViewTest(unittest.TestCase):
     def test_source_and_age_of_the_configuration_in_force_are_logged(self) -> None:
         settings = test_tables.make_settings()
-        subject = view.View(settings, members.Members(settings), mock.Mock(), mock.Mock())
+        membership = members.Members(settings)
+        subject = view.View(settings, membership, mock.Mock(), mock.Mock(), mock.Mock())
         row = test_tables.row("config", 12, json.dumps(DOCUMENT).encode())
         with mock.patch.object(view.eventlog, "event") as event:
             subject.update(tables.Update("op", (row,), True, "10.0.0.2", 0.4))
--- a/waxwingspool/edge/view.py
+++ b/waxwingspool/edge/view.py
@@ -5,7 +5,7 @@
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node, routes, upstreams
-from waxwingspool.fleet import members, tables
+from waxwingspool.fleet import departures, members, tables
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import configuration, registration, store
 
@@ -27,6 +27,7 @@
     :param membership: registry of the members, updated from their table.
     :param on_upstreams: called with the usable upstreams after each change.
     :param on_routes: called after a new configuration has come into force.
+    :param known_departures: upstreams that are leaving and must get no new requests.
     """
 
     def __init__(
@@ -35,11 +36,13 @@
         membership: members.Members,
         on_upstreams: Callable[[list[upstreams.Upstream]], None],
         on_routes: Callable[[], None],
+        known_departures: departures.Departures,
     ) -> None:
         self._settings = settings
         self._members = membership
         self._on_upstreams = on_upstreams
         self._on_routes = on_routes
+        self._departures = known_departures
         self._table: routes.RouteTable | None = None
         self._registry = upstreams.Registry(time.monotonic)
         self._usable_ids: set[str] = set()
@@ -75,10 +78,11 @@
 
     def expire(self) -> None:
         """Remove upstreams that have not registered again after a store outage."""
+        self._departures.retain(self._registry.upstreams.values())
         count = len(self._registry.upstreams)
         self._registry.expire()
         if len(self._registry.upstreams) != count:
-            self._publish_upstreams()
+            self.publish_upstreams()
 
     def _update_configuration(self, update: tables.Update) -> None:
         """Apply the newest configuration; an older version never replaces a newer one."""
@@ -125,15 +129,17 @@
             self._registry.replace(listed, update.restored)
         else:
             self._registry.apply(changes)
-        self._publish_upstreams()
+        self.publish_upstreams()
 
     def _update_members(self, rows: Iterable[store.Row]) -> None:
         for row in rows:
             if not self._members.update(row.key, row.value):
                 eventlog.event("member.unreadable", member=row.key, row=row.version)
 
-    def _publish_upstreams(self) -> None:
-        usable = self._registry.usable()
+    def publish_upstreams(self) -> None:
+        """Tell which upstreams may receive requests, after a change of them."""
+        registered = self._registry.usable()
+        usable = [target for target in registered if not self._departures.is_leaving(target)]
         ids = {upstream.id for upstream in usable}
         if ids != self._usable_ids:
             eventlog.event(
--- a/waxwingspool/fleet/frames.py
+++ b/waxwingspool/fleet/frames.py
@@ -13,6 +13,7 @@
 from waxwingspool.catalog import store_version
 
 __all__ = [
+    "DEPARTURE_FRAMES",
     "SlotRequest",
     "ListingRequest",
     "Unsubscribe",
@@ -56,6 +57,11 @@
     """The sender is shutting down and must not be selected as dispatcher or reader."""
 
 
+# Ids and starts of upstreams that are leaving, which the receiver has not been told before; see
+# :mod:`waxwingspool.fleet.departures`.
+_Departures = tuple[tuple[str, int], ...]
+
+
 class SlotRequest(msgspec.Struct, array_like=True, tag=2):
     """A request for a slot; see :class:`waxwingspool.dispatch.slots.SlotRequest`.
 
@@ -74,6 +80,7 @@
     borrowed: bool
     hedge: bool
     lends_share: bool = False
+    departures: _Departures = ()
 
 
 class Granted(msgspec.Struct, array_like=True, tag=3):
@@ -88,6 +95,7 @@
     upstream: str
     expected_s: float
     limited: bool = False
+    departures: _Departures = ()
 
 
 class Refused(msgspec.Struct, array_like=True, tag=4):
@@ -96,6 +104,7 @@
     key: int
     retry_after_s: float
     reason: str
+    departures: _Departures = ()
 
 
 class Release(msgspec.Struct, array_like=True, tag=5):
@@ -111,6 +120,7 @@
     outcome: str
     seconds: float
     slowdown: float | None
+    departures: _Departures = ()
 
 
 class HeldSlot(msgspec.Struct, array_like=True, tag=6):
@@ -252,6 +262,9 @@
     LendShare,
 )
 
+# Frames that tell departures of upstreams besides.
+DEPARTURE_FRAMES = (SlotRequest, Granted, Refused, Release)
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Frame)
 
--- a/waxwingspool/fleet/probes.py
+++ b/waxwingspool/fleet/probes.py
@@ -12,7 +12,7 @@
 from waxwingspool.catalog import upstreams
 from waxwingspool.fleet import slots
 from waxwingspool.observe import counters, eventlog
-from waxwingspool.proxy import header_names, limit_header, message, upstream
+from waxwingspool.proxy import departure_header, header_names, limit_header, message, upstream
 
 __all__ = ["Prober"]
 
@@ -120,13 +120,15 @@
             return
         self._slot_manager.record_probe(target, load.running + load.waiting, load.slowdown)
 
-    def _record_limit(
+    def _record_headers(
         self, target: upstreams.Upstream, response: upstream.Response, times: tuple[float, float]
     ) -> None:
-        """Record what a health check tells about the rate limit, if the upstream answered it."""
+        """Record what a health check tells of rate limit and departure, if the upstream replied."""
         names = self._header_names
         if message.get_header(response.headers, names.instance) != target.id.encode():
             return
+        if departure_header.tells_departure(response.status, response.headers, names):
+            self._slot_manager.record_departure(target, "probe", "")
         limit = limit_header.read_limit(response.headers, names, target.id, times, probe=True)
         if limit is not None and (response.status == 200 or limit.rate is not None):
             self._slot_manager.record_probed_limit(target, limit)
@@ -146,6 +148,6 @@
         if response.body.failed:
             raise upstream.Broken(upstream.ExchangeFailure.TRUNCATED, "response to a probe")
         connection.finish()
-        self._record_limit(target, response, (sent_at, received_at))
+        self._record_headers(target, response, (sent_at, received_at))
         value = message.get_header(response.headers, self._header_names.load)
         return None if value is None else value.decode("latin-1")
--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -10,13 +10,14 @@
 import itertools
 import random
 import time
+from collections.abc import Iterable
 
 import msgspec
 
 from waxwingspool import exceptions
 from waxwingspool.catalog import node, upstreams
 from waxwingspool.dispatch import election, health, rates, shares, slots
-from waxwingspool.fleet import frames, link, members, rate_limits
+from waxwingspool.fleet import departures, frames, link, members, rate_limits
 from waxwingspool.observe import eventlog
 
 __all__ = ["Refused", "Slot", "SlotManager"]
@@ -32,6 +33,9 @@
 # Concurrency that all balancers of a region may use together without a dispatcher, as a multiple of
 # the region's concurrency; each balancer has an equal share of it.
 LOCAL_OVERCOMMIT_FACTOR = 2.0
+# Number of times that a dispatcher is asked for one slot, if it grants slots at upstreams that this
+# balancer does not use any more.
+MAX_SLOT_REQUESTS = 3
 # Round-trip time to another region in seconds, which a slot borrowed from there costs.
 CROSS_REGION_RTT_S = 0.07
 # Largest request body sent to another region, in bytes; the link between regions has little
@@ -72,20 +76,36 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Unusable:
+    """A slot was granted at an upstream that this balancer does not use any more."""
+
+    upstream: str
+
+
+_DepartureFrame = frames.SlotRequest | frames.Granted | frames.Refused | frames.Release
+
+
 class SlotManager:
     """Acquires slots for this balancer, and grants slots where it is the dispatcher.
 
     :param settings: settings of this balancer.
     :param membership: all known balancers.
     :param links: links to peers.
+    :param known_departures: upstreams that are leaving.
     """
 
     def __init__(
-        self, settings: node.NodeSettings, membership: members.Members, links: link.Links
+        self,
+        settings: node.NodeSettings,
+        membership: members.Members,
+        links: link.Links,
+        known_departures: departures.Departures,
     ) -> None:
         self._settings = settings
         self._members = membership
         self._links = links
+        self._departures = known_departures
         self._keys = itertools.count(1)
         self._rng = random.Random()
         self._upstreams: dict[str, upstreams.Upstream] = {}
@@ -140,6 +160,29 @@
         """Record what the response to a probe tells about a rate limit."""
         self._limits.record(target, report, "probe")
 
+    def record_departure(self, target: upstreams.Upstream, source: str, request_id: str) -> None:
+        """Record that an upstream says that it is leaving.
+
+        :param source: ``response`` or ``probe``.
+        :param request_id: id of the request, for the log; empty for a probe.
+        """
+        in_use = self._is_in_use((target.id, target.started_ms))
+        self._departures.record(target, source, in_use, request_id)
+
+    def receive_departures(self, peer: str, starts: Iterable[departures.Start]) -> None:
+        """Record the departures that a peer tells."""
+        self._departures.receive(peer, starts, self._is_in_use)
+
+    def _is_in_use(self, start: departures.Start) -> bool:
+        id_, started_ms = start
+        known = self._upstreams.get(id_)
+        return known is not None and known.started_ms == started_ms
+
+    def _send(self, peer_link: link.Link, frame: _DepartureFrame) -> None:
+        """Send a frame, with the departures that the peer has not been told."""
+        untold = self._departures.take_untold(peer_link.peer)
+        peer_link.send(msgspec.structs.replace(frame, departures=untold) if untold else frame)
+
     def record_probe(self, target: upstreams.Upstream, load: int, slowdown: float | None) -> None:
         """Record the result of a probe.
 
@@ -222,7 +265,7 @@
         else:
             peer_link = self._links.get(slot.dispatcher)
             if peer_link is not None:
-                peer_link.send(_release_frame(slot.service, slot.key, report))
+                self._send(peer_link, _release_frame(slot.service, slot.key, report))
 
     def _record_limit(self, slot: Slot, report: rates.LimitReport) -> None:
         """Record what a response tells about a rate limit, and tell the dispatcher."""
@@ -236,7 +279,30 @@
     async def _request_from_region(
         self, request: frames.SlotRequest, region: str
     ) -> Slot | Refused:
-        """Request a slot from the dispatcher of a region."""
+        """Request a slot from the dispatcher of a region.
+
+        If it grants one at an upstream that this balancer does not use any more, it is asked again,
+        since it may know less.
+        """
+        ends_at = time.monotonic() + request.remaining_s
+        for _ in range(MAX_SLOT_REQUESTS):
+            result = await self._request_once(request, region)
+            if isinstance(result, Slot | Refused):
+                return result
+            request = msgspec.structs.replace(
+                request,
+                key=next(self._keys),
+                remaining_s=max(0.0, ends_at - time.monotonic()),
+                excluded=(*request.excluded, result.upstream),
+            )
+        if region != self._settings.region:
+            return Refused(0.0, "the other region's dispatcher knows no upstream in use")
+        return self._request_locally(request)
+
+    async def _request_once(
+        self, request: frames.SlotRequest, region: str
+    ) -> Slot | Refused | _Unusable:
+        """Request a slot from the dispatcher of a region once."""
         peer = self._elect_dispatcher(request.service, region)
         if peer == self._settings.ip:
             return await self._request_in_process(request)
@@ -250,7 +316,7 @@
                 self._report_held_slots(peer_link, request.service, region)
                 if region == self._settings.region:
                     request.lends_share = self._limits.lend(request.service, peer)
-                peer_link.send(request)
+                self._send(peer_link, request)
                 reply = await future
         except (TimeoutError, exceptions.PeerUnavailable) as error:
             return self._handle_dispatcher_failure(request, peer, region, error)
@@ -277,14 +343,14 @@
 
     def _accept_reply(
         self, request: frames.SlotRequest, reply: frames.Granted | frames.Refused, peer: str
-    ) -> Slot | Refused:
+    ) -> Slot | Refused | _Unusable:
         """Return the slot or refusal in a dispatcher's reply."""
         if isinstance(reply, frames.Refused):
             return Refused(reply.retry_after_s, reply.reason)
         upstream = self._upstreams.get(reply.upstream)
         if upstream is None:
             self._cancel_slot_request(request, peer)
-            return self._request_locally(request)
+            return _Unusable(reply.upstream)
         slot = Slot(
             request.key,
             request.service,
@@ -297,7 +363,7 @@
         self._held[request.key] = slot
         return slot
 
-    async def _request_in_process(self, request: frames.SlotRequest) -> Slot | Refused:
+    async def _request_in_process(self, request: frames.SlotRequest) -> Slot | Refused | _Unusable:
         """Request a slot from the regional dispatcher that runs in this process."""
         dispatcher = self._regional_dispatcher(request.service)
         self._lend_to_self(request.service)
@@ -326,19 +392,26 @@
         """Request a slot from this balancer's own share of the upstreams, without waiting."""
         dispatcher = self._local_dispatcher(request.service)
         local_request = _slot_request_from_frame(request, self._settings.ip)
-        return self._accept_decision(
-            request, dispatcher.submit(local_request, time.monotonic(), may_wait=False), local=True
-        )
+        decision = dispatcher.submit(local_request, time.monotonic(), may_wait=False)
+        slot = self._accept_decision(request, decision, local=True)
+        if isinstance(slot, _Unusable):
+            return Refused(slots.MIN_RETRY_AFTER_S, "the upstream has left")
+        return slot
 
     def _accept_decision(
         self, request: frames.SlotRequest, decision: slots.Decision, local: bool
-    ) -> Slot | Refused:
+    ) -> Slot | Refused | _Unusable:
         """Return the slot or refusal that a dispatcher of this process decided on."""
         if isinstance(decision, slots.Refusal):
             return Refused(decision.retry_after_s, decision.reason)
         upstream = self._upstreams.get(decision.upstream)
         if upstream is None:
-            return Refused(slots.MIN_RETRY_AFTER_S, "the upstream has left")
+            dispatchers = self._local if local else self._regional
+            unused = health.Report(health.Outcome.UNUSED)
+            dispatchers[request.service].release(
+                self._settings.ip, request.key, unused, time.monotonic()
+            )
+            return _Unusable(decision.upstream)
         slot = Slot(
             request.key,
             request.service,
@@ -371,7 +444,7 @@
         peer_link = self._links.get(peer)
         if peer_link is not None:
             unused = health.Report(health.Outcome.UNUSED)
-            peer_link.send(_release_frame(request.service, request.key, unused))
+            self._send(peer_link, _release_frame(request.service, request.key, unused))
 
     def _max_reply_wait_s(self, request: frames.SlotRequest) -> float:
         """Return the longest wait for a reply in seconds, without :data:`REPLY_MARGIN_S`."""
@@ -464,7 +537,7 @@
             _slot_request_from_frame(request, peer_link.peer), time.monotonic()
         )
         if decision is not None:
-            peer_link.send(self._reply_frame(decision))
+            self._send(peer_link, self._reply_frame(decision))
 
     def receive_held_slot(self, peer_link: link.Link, held: frames.HeldSlot) -> None:
         """Count a slot that a peer got from a previous dispatcher."""
@@ -516,6 +589,7 @@
         """Release the slots of a peer whose link has closed, and clear what was reported to it."""
         self._reported = {pair for pair in self._reported if pair[0] != peer_link.peer}
         self._told = {pair for pair in self._told if pair[0] != peer_link.peer}
+        self._departures.forget_peer(peer_link.peer)
         if self._requester_links.get(peer_link.peer) is peer_link:
             del self._requester_links[peer_link.peer]
             self._limits.remove_owner(peer_link.peer)
@@ -591,7 +665,7 @@
             return
         peer_link = self._requester_links.get(holder)
         if peer_link is not None:
-            peer_link.send(self._reply_frame(decision))
+            self._send(peer_link, self._reply_frame(decision))
 
     def _reply_frame(self, decision: slots.Decision) -> frames.Granted | frames.Refused:
         key = decision.request.key
--- a/waxwingspool/fleet/tests/rate_model.py
+++ b/waxwingspool/fleet/tests/rate_model.py
@@ -14,7 +14,7 @@
 from standins import virtual
 from waxwingspool.catalog import upstreams
 from waxwingspool.dispatch import election, health, rates
-from waxwingspool.fleet import frames, link, members, slots
+from waxwingspool.fleet import departures, frames, link, members, slots
 from waxwingspool.fleet.tests import test_tables
 from waxwingspool.observe import eventlog
 
@@ -125,7 +125,9 @@
         for peer in self._fleet.balancers.values():
             membership.update(peer.ip, members.encode(peer.settings))
         self.links = link.Links(self.settings, self._receive, self._handle_lost_link)
-        self.slot_manager = slots.SlotManager(self.settings, membership, self.links)
+        self.slot_manager = slots.SlotManager(
+            self.settings, membership, self.links, departures.Departures(lambda: None)
+        )
         self.slot_manager.update_upstreams([u.registered for u in self._fleet.upstreams.values()])
         self._task = self._fleet.loop.create_task(self.slot_manager.run())
 
--- a/waxwingspool/fleet/tests/test_row_order.py
+++ b/waxwingspool/fleet/tests/test_row_order.py
@@ -6,7 +6,7 @@
 
 from waxwingspool.catalog import upstreams
 from waxwingspool.edge import view
-from waxwingspool.fleet import frames, members, row_order, tables
+from waxwingspool.fleet import departures, frames, members, row_order, tables
 from waxwingspool.fleet.tests import test_tables
 from waxwingspool.platform import store
 from waxwingspool.platform.tests import test_decoding
@@ -50,7 +50,8 @@
     def start_balancer(self, on_upstreams) -> tables.TableCopies:
         node_settings = test_tables.make_settings()
         membership = members.Members(node_settings)
-        self.view = view.View(node_settings, membership, on_upstreams, mock.Mock())
+        self.departures = departures.Departures(lambda: self.view.publish_upstreams())
+        self.view = view.View(node_settings, membership, on_upstreams, mock.Mock(), self.departures)
         return tables.TableCopies(
             node_settings,
             mock.Mock(),
--- a/waxwingspool/fleet/tests/test_slots.py
+++ b/waxwingspool/fleet/tests/test_slots.py
@@ -9,7 +9,7 @@
 from waxwingspool.catalog import upstreams
 from waxwingspool.dispatch import election, health
 from waxwingspool.dispatch import slots as dispatch_slots
-from waxwingspool.fleet import frames, members, slots
+from waxwingspool.fleet import departures, frames, members, slots
 from waxwingspool.fleet.tests import test_tables
 
 PEER_IP = "10.0.0.2"
@@ -25,7 +25,8 @@
         membership.update(PEER_IP, members.encode(test_tables.make_settings(PEER_IP)))
         links = mock.Mock()
         links.get_or_connect = mock.AsyncMock(side_effect=exceptions.PeerUnavailable("gone"))
-        self.slot_manager = slots.SlotManager(settings, membership, links)
+        self.departures = departures.Departures(self.update_upstreams)
+        self.slot_manager = slots.SlotManager(settings, membership, links, self.departures)
         self.upstream = upstreams.Upstream(
             "u1", "tags", ("10.0.1.1", 80), "a-1", 4, False, 0.0, 0, 1
         )
@@ -34,6 +35,10 @@
         patcher.start()
         self.addCleanup(patcher.stop)
 
+    def update_upstreams(self) -> None:
+        leaving = self.departures.is_leaving(self.upstream)
+        self.slot_manager.update_upstreams([] if leaving else [self.upstream])
+
     async def acquire(self) -> slots.Slot | slots.Refused:
         return await self.slot_manager.acquire("tags", 2.0, 0.6, 1, 0, ())
 
--- a/waxwingspool/platform/headers.py
+++ b/waxwingspool/platform/headers.py
@@ -5,7 +5,13 @@
 
 from waxwingspool.proxy import header_names
 
-__all__ = ["HEADER_NAMES", "READINESS_PATH", "parse_load", "parse_rate_limit"]
+__all__ = [
+    "HEADER_NAMES",
+    "READINESS_PATH",
+    "parse_leaving",
+    "parse_load",
+    "parse_rate_limit",
+]
 
 # Path at which the platform checks whether this balancer accepts new connections.
 READINESS_PATH = "/v1/readiness"
@@ -67,6 +73,15 @@
     return rate if math.isfinite(rate) else None
 
 
+def parse_leaving(text: str) -> bool:
+    """Return whether an upstream says that it is leaving.
+
+    >>> parse_leaving("1"), parse_leaving("0"), parse_leaving("1, 1")
+    (True, False, True)
+    """
+    return any(part.strip() == "1" for part in text.split(","))
+
+
 HEADER_NAMES = header_names.HeaderNames(
     request_id=b"x-request-id",
     # Remaining time in milliseconds until the caller's deadline.
@@ -83,4 +98,7 @@
     # Requests per second that the upstream takes from all balancers together.
     rate_limit=b"server-limit",
     parse_rate_limit=parse_rate_limit,
+    # 1 in all responses of an upstream that is leaving, from when it decides to.
+    leaving=b"server-leaving",
+    parse_leaving=parse_leaving,
 )
--- a/waxwingspool/platform/tests/test_odd_entries.py
+++ b/waxwingspool/platform/tests/test_odd_entries.py
@@ -9,7 +9,7 @@
 from waxwingspool.catalog import store_version, upstreams
 from waxwingspool.dispatch import limits
 from waxwingspool.edge import view
-from waxwingspool.fleet import frames, link, members, tables
+from waxwingspool.fleet import departures, frames, link, members, tables
 from waxwingspool.fleet.tests import test_tables
 from waxwingspool.platform import configuration, headers, registration, settings, store
 from waxwingspool.platform.tests import test_decoding
@@ -84,7 +84,10 @@
         node_settings = test_tables.make_settings()
         self.usable: list[upstreams.Upstream] = []
         self.members = members.Members(node_settings)
-        self.view = view.View(node_settings, self.members, self.set_usable, mock.Mock())
+        known_departures = departures.Departures(mock.Mock())
+        self.view = view.View(
+            node_settings, self.members, self.set_usable, mock.Mock(), known_departures
+        )
         self.copies = tables.TableCopies(
             node_settings,
             mock.Mock(),
--- a/waxwingspool/proxy/exchange.py
+++ b/waxwingspool/proxy/exchange.py
@@ -2,10 +2,19 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from waxwingspool.catalog import upstreams
 from waxwingspool.dispatch import health, rates
-from waxwingspool.proxy import caller, header_names, limit_header, message, pool, upstream
+from waxwingspool.proxy import (
+    caller,
+    departure_header,
+    header_names,
+    limit_header,
+    message,
+    pool,
+    upstream,
+)
 
 __all__ = ["Attempt", "BufferedResponse", "Result", "send"]
 
@@ -14,9 +23,6 @@
 RESPONSE_BUFFER_BYTES = 128 * 1024
 # Time for the rest of a refusal after its head, in seconds: it is short and sent with its head.
 REFUSAL_TIMEOUT_S = 1.0
-# Misdirected Request: the upstream did not run the request, whether or not the response also
-# carries the header that says so.
-_MISDIRECTED = 421
 
 
 @dataclasses.dataclass(slots=True)
@@ -65,12 +71,14 @@
 
     :ivar body: the request body as far as it was read before the attempt.
     :ivar deadline: event loop time in seconds after which nobody waits for the response.
+    :ivar on_departure: called when the upstream says that it is leaving.
     """
 
     request: caller.Request
     body: bytes
     target: upstreams.Upstream
     deadline: float
+    on_departure: Callable[[], None]
 
 
 async def send(attempt: Attempt, connections: pool.Pool, names: header_names.HeaderNames) -> Result:
@@ -89,6 +97,12 @@
         return Result(health.Outcome.UNREACHABLE, may_have_run=False, reason=reason)
     started_at = loop.time()
     succeeded = False
+
+    def read_head(status: int, headers: message.Headers) -> None:
+        if departure_header.tells_departure(status, headers, names):
+            attempt.on_departure()
+
+    connection.on_head = read_head
     try:
         result = await _exchange(attempt, connection, names)
         result.seconds = loop.time() - started_at
@@ -97,6 +111,7 @@
         seconds = loop.time() - started_at
         return Result(health.Outcome.FAILED, may_have_run=True, reason=str(error), seconds=seconds)
     finally:
+        connection.on_head = None
         if not succeeded:
             connection.abort()
     if result.connection is None:
@@ -221,7 +236,7 @@
     load = None if load_header is None else names.parse_load(load_header.decode("latin-1"))
     slowdown = None if load is None else load.slowdown
     if _is_refusal(response, names):
-        misdirected = response.status == _MISDIRECTED
+        misdirected = response.status == message.MISDIRECTED
         outcome = health.Outcome.MISDIRECTED if misdirected else health.Outcome.FULL
         reason = f"turned away with status {response.status}"
         return Result(outcome, may_have_run=False, reason=reason, slowdown=slowdown)
@@ -249,7 +264,7 @@
     :param times: event loop times in seconds of the request and of the head of the response.
     """
     has_proof = _has_proof(response, names)
-    if response.status == _MISDIRECTED or not (has_proof or _is_refusal(response, names)):
+    if response.status == message.MISDIRECTED or not (has_proof or _is_refusal(response, names)):
         return None
     request_id = message.get_header(attempt.request.headers, names.request_id) or b""
     report = limit_header.read_limit(
@@ -265,7 +280,7 @@
 def _is_refusal(response: upstream.Response, names: header_names.HeaderNames) -> bool:
     """Whether the head says that the upstream did not run this request."""
     is_marked = message.get_header(response.headers, names.not_run) is not None
-    return response.attributed and (is_marked or response.status == _MISDIRECTED)
+    return response.attributed and (is_marked or response.status == message.MISDIRECTED)
 
 
 def _has_proof(response: upstream.Response, names: header_names.HeaderNames) -> bool:
--- a/waxwingspool/proxy/forward.py
+++ b/waxwingspool/proxy/forward.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import time
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -270,7 +271,18 @@
         """Send one attempt to the upstream of a slot."""
         context.tried_upstreams = (*context.tried_upstreams, slot.upstream.id)
         context.attempts_sent += 1
-        attempt = exchange.Attempt(context.request, context.body, slot.upstream, context.deadline)
+        attempt = exchange.Attempt(
+            context.request,
+            context.body,
+            slot.upstream,
+            context.deadline,
+            functools.partial(
+                self._slot_manager.record_departure,
+                slot.upstream,
+                "response",
+                context.request_id[: caller.MAX_LOGGED_BYTES].decode("latin-1"),
+            ),
+        )
         result = None
         try:
             result = await exchange.send(attempt, self._pool, self._header_names)
--- a/waxwingspool/proxy/header_names.py
+++ b/waxwingspool/proxy/header_names.py
@@ -29,6 +29,7 @@
     :ivar not_run: marks a response to a request that the upstream did not run.
     :ivar instance: id of the upstream that answers a health check.
     :ivar rate_limit: present while the upstream limits the rate of requests.
+    :ivar leaving: tells whether the upstream is shutting down.
     """
 
     request_id: bytes
@@ -41,3 +42,5 @@
     instance: bytes
     rate_limit: bytes
     parse_rate_limit: Callable[[str], float]
+    leaving: bytes
+    parse_leaving: Callable[[str], bool]
--- a/waxwingspool/proxy/message.py
+++ b/waxwingspool/proxy/message.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "Headers",
+    "MISDIRECTED",
     "connection_options",
     "end_to_end_headers",
     "format_head",
@@ -15,6 +16,10 @@
 # Pairs of a lower-case name and a value.
 Headers = list[tuple[bytes, bytes]]
 
+# Status of a response to a request that was meant for another upstream; it has not run, whether or
+# not the response also carries the header that says so.
+MISDIRECTED = 421
+
 # Headers that apply to a single connection (RFC 9110, section 7.6.1), and the framing headers,
 # which are generated separately for each connection.
 _HOP_BY_HOP = frozenset(
--- a/waxwingspool/proxy/tests/test_limit_header.py
+++ b/waxwingspool/proxy/tests/test_limit_header.py
@@ -70,7 +70,7 @@
         now = asyncio.get_running_loop().time()
         fields = [(b"x-request-id", b"r1")]
         request = caller.Request(b"GET", b"/t/x", "/t/x", "a", fields, stream, 0, now, True, 0)
-        attempt = exchange.Attempt(request, b"", self.target, now + 60.0)
+        attempt = exchange.Attempt(request, b"", self.target, now + 60.0, mock.Mock())
         return await exchange.send(attempt, self.pool, headers.HEADER_NAMES)
 
     async def test_only_an_upstreams_own_readable_limit_counts(self) -> None:
--- a/waxwingspool/proxy/upstream.py
+++ b/waxwingspool/proxy/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 
 import httptools
 
@@ -81,6 +82,8 @@
     :param id_header: response header that carries the request id, ``None`` to accept responses
         without comparing ids.
     :ivar failure: why the exchange failed, ``None`` if it has not.
+    :ivar on_head: called with status and headers of each response head, also of interim responses
+        and of responses to other requests.
     :ivar idle_since: event loop time in seconds at which the last exchange ended.
     :ivar keep_alive_s: idle timeout in seconds that the upstream announced, ``None`` if it
         announced none.
@@ -103,6 +106,7 @@
         self._invalid = False
         self._reusable = True
         self.failure: Broken | None = None
+        self.on_head: Callable[[int, message.Headers], None] | None = None
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
         self.closed = False
@@ -185,6 +189,8 @@
     def on_headers_complete(self) -> None:
         self._in_head = False
         status = self._parser.get_status_code()
+        if self.on_head is not None:
+            self.on_head(status, self._headers)
         self._skipping = _is_interim(status) or self._has_other_request_id()
         if self._skipping or self._response is not None:
             return
