Refuse requests that no upstream can serve at once, and have their callers return later

Callers waited for a slot that nobody could give them: when the last upstream of a service left, queued requests stayed for 0.15 to 0.3 of their latency objective, and so did a request that the only upstream had turned away. Their Retry-After was that of a short queue, so that both retries of a caller were over before another upstream could have started.

Cause: the dispatcher looked for upstreams only as a request arrived, and did not look at those that the request had been sent to.

Change: requests without an upstream that they have not been sent to are refused when they arrive, and in the queue with the change that takes the last one. Without any upstream, Retry-After is 0.13 to 0.3 of the caller's remaining time, spread at random.

--- a/waxwingspool/dispatch/slots.py
+++ b/waxwingspool/dispatch/slots.py
@@ -39,6 +39,9 @@
 # Largest Retry-After as a fraction of the caller's remaining time; callers cap their delay at the
 # same fraction.
 MAX_RETRY_AFTER_SHARE = 0.3
+# Retry-After of a service without upstreams as a fraction of the caller's remaining time, before
+# the jitter: an upstream takes longer to start than a slot to come free.
+START_WAIT_SHARE = MAX_RETRY_AFTER_SHARE / (1 + RETRY_AFTER_JITTER)
 # Longest wait for an uncontended upstream while all are contended, as a fraction of the latency
 # objective. At a contended upstream, a request takes several times as long and would certainly miss
 # its objective; half of the contention periods, which last half a second, end within this time.
@@ -302,6 +305,8 @@
         :returns: a grant or a refusal, ``None`` if the request is queued for :meth:`poll`.
         """
         self._last_request_at = now
+        if not self._is_servable(request):
+            return self._refuse_unservable(request)
         if request.hedge or request.borrowed:
             return self._request_spare_slot(request, now)
         if not self._count_ahead(request):
@@ -313,8 +318,6 @@
         if not may_wait:
             return self.refuse(request, "no slot is free and the request may not wait")
         max_wait_s = self._max_wait_s(request, now)
-        if not self._upstreams:
-            return self.refuse(request, "no upstream is known")
         if self._all_limited(request, now):
             wait_s = self._expected_token_wait_s(request, now)
             if wait_s > max_wait_s:
@@ -420,6 +423,9 @@
         remaining: list[_QueuedRequest] = []
         candidates: dict[tuple[tuple[str, ...], bool], list[tuple[str, health.Health]]] = {}
         for queued in self._queue:
+            if not self._is_servable(queued.request):
+                decisions.append(self._refuse_unservable(queued.request))
+                continue
             expired = queued.expires_at <= now
             cache_key = (queued.request.excluded, expired)
             if cache_key not in candidates:
@@ -596,6 +602,16 @@
 
     # Queue
 
+    def _is_servable(self, request: SlotRequest) -> bool:
+        """Whether there is an upstream that a request has not been sent to."""
+        return any(id_ not in request.excluded for id_ in self._upstreams)
+
+    def _refuse_unservable(self, request: SlotRequest) -> Refusal:
+        """Refuse a request that no upstream can serve, without a wait for a slot."""
+        if self._upstreams:
+            return self.refuse(request, "it has been sent to all upstreams")
+        return self.refuse(request, "no upstream is known", START_WAIT_SHARE * request.remaining_s)
+
     def _count_ahead(self, request: SlotRequest) -> int:
         """Return the number of queued requests that go first."""
         return sum(1 for queued in self._queue if queued.request.priority <= request.priority)
