--- a/standins/deployment/upstream.py
+++ b/standins/deployment/upstream.py
@@ -101,6 +101,11 @@
         changes = self._ledger.rate_limits[self.id]
         changes.append((asyncio.get_running_loop().time(), rate))
 
+    @property
+    def busy(self) -> bool:
+        """Whether it has requests that run or wait."""
+        return bool(self._running or self._waiting)
+
     def start_again(self) -> None:
         """Start again under the same id, with nothing of before."""
         self.leaving = self.gone = False
--- a/standins/tests/test_departures.py
+++ b/standins/tests/test_departures.py
@@ -184,6 +184,52 @@
 
         return scenario
 
+    def test_callers_of_a_lone_upstream_that_leaves_are_refused_at_once(self) -> None:
+        # Guards against requests that wait until their deadline for the only upstream.
+        async def scenario(deployment: cluster.Cluster, traffic: Traffic) -> None:
+            deployment.store.fault = "reset"
+            deployment.store_relay.reset()
+            self.left_at = asyncio.get_running_loop().time()
+            deployment.upstreams["till-0"].leaving = True
+            await asyncio.sleep(LEAVING_S)
+
+        traffic = self.run_deployment(scenario, upstreams=1)
+        self.check_departure(traffic)
+        payments = [
+            sent.response
+            for sent in traffic.sent.values()
+            if sent.kind == "pay" and sent.sent_at > self.left_at + LEAVING_S / 2
+        ]
+        self.assertEqual({503}, {response.status for response in payments})
+        for response in payments:
+            self.assertIsNotNone(message.get_header(response.headers, b"retry-after"))
+        self.assertGreater(len(payments), 3 * CALLERS)
+
+    def test_payments_are_served_while_all_upstreams_start_again_in_turn(self) -> None:
+        # Guards against requests that are cut, or refused for good, in a rolling restart.
+        async def scenario(deployment: cluster.Cluster, traffic: Traffic) -> None:
+            self.left_at = asyncio.get_running_loop().time()
+            for number in range(3):
+                restarted = deployment.upstreams[f"till-{number}"]
+                restarted.leaving = True
+                await asyncio.sleep(1.0)
+                while restarted.busy:
+                    await asyncio.sleep(0.05)
+                restarted.gone = True
+                deployment.relays[restarted.id].reset()
+                await asyncio.sleep(0.2)
+                started_at = asyncio.get_running_loop().time()
+                restarted.start_again()
+                await deployment.register(restarted.id, "ready")
+                async with asyncio.timeout(TIMEOUT_S):
+                    while not self.is_used(deployment, restarted.id, started_at):
+                        await asyncio.sleep(0.05)
+
+        traffic = self.run_deployment(scenario)
+        statuses = traffic.statuses(self.left_at)
+        self.assertLessEqual(set(statuses), {200, 503})
+        self.assertGreater(statuses[200], 10 * statuses[503])
+
     def is_used(self, deployment: cluster.Cluster, upstream: str, since: float) -> bool:
         arrivals = reversed(deployment.ledger.arrivals)
         recent = itertools.takewhile(lambda arrival: arrival[0] > since, arrivals)
