End a departure once health checks show that the upstream has started again

Callers would have lost an upstream that started again under its id and address while the store was away: nothing told balancers of the new start, so its departure held until the store was back.

Cause: a departure ended only with the row of another start.

Change: while the store lists the departed start as ready, each balancer sends it a health check about once a second. A response with status 200, of that upstream and without the header ends the departure, if an earlier check has told of it or has shown that the process had ended, so that a health check that lies, or does not carry the header, changes nothing. A peer that still tells of it is not believed any more; a response of the upstream itself is.

--- a/standins/tests/test_departures.py
+++ b/standins/tests/test_departures.py
@@ -161,8 +161,10 @@
 
     def test_new_start_of_an_upstream_that_left_is_used(self) -> None:
         # Guards against a departure that outlives the start that it is about.
-        traffic = self.run_deployment(self.leave_and_start_again(False))
-        self.assertEqual([], traffic.late(self.started_again_at))
+        for store_away in (False, True):
+            with self.subTest(store_away=store_away):
+                traffic = self.run_deployment(self.leave_and_start_again(store_away))
+                self.assertEqual([], traffic.late(self.started_again_at))
 
     def leave_and_start_again(self, store_away: bool):
         async def scenario(deployment: cluster.Cluster, traffic: Traffic) -> None:
--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -11,7 +11,16 @@
 from waxwingspool.catalog import node, routes, upstreams
 from waxwingspool.dispatch import budget, split
 from waxwingspool.edge import registration, status, view
-from waxwingspool.fleet import departures, frames, link, members, probes, slots, tables
+from waxwingspool.fleet import (
+    departure_checks,
+    departures,
+    frames,
+    link,
+    members,
+    probes,
+    slots,
+    tables,
+)
 from waxwingspool.fleet import store as store_client
 from waxwingspool.observe import counters, eventlog
 from waxwingspool.platform import headers, settings
@@ -84,6 +93,13 @@
         self._prober = probes.Prober(
             node_settings.ip, self._slot_manager, self._get_health_path, headers.HEADER_NAMES
         )
+        self._departure_checker = departure_checks.DepartureChecker(
+            node_settings.ip,
+            self._departures,
+            lambda: self._view.withheld,
+            self._get_health_path,
+            headers.HEADER_NAMES,
+        )
         self._connections: set[caller.Connection] = set()
         self._stalled_callers = stalled.StalledCallers()
         self._stopping = asyncio.Event()
@@ -104,6 +120,7 @@
         tasks.add("slots", self._slot_manager.run)
         tasks.add("pool", self._pool.run)
         tasks.add("probes", self._prober.run)
+        tasks.add("departure checks", self._departure_checker.run)
         tasks.add("tick", self._expire_upstreams)
         supervision = asyncio.create_task(tasks.run())
         eventlog.event(
--- a/waxwingspool/edge/view.py
+++ b/waxwingspool/edge/view.py
@@ -46,6 +46,7 @@
         self._table: routes.RouteTable | None = None
         self._registry = upstreams.Registry(time.monotonic)
         self._usable_ids: set[str] = set()
+        self._withheld: list[upstreams.Upstream] = []
 
     @property
     def route_table(self) -> routes.RouteTable | None:
@@ -62,6 +63,11 @@
         """Number of upstreams that may receive requests."""
         return len(self._usable_ids)
 
+    @property
+    def withheld(self) -> list[upstreams.Upstream]:
+        """Upstreams that get no requests only because they have said that they are leaving."""
+        return self._withheld
+
     def update(self, update: tables.Update) -> None:
         """Apply new rows of a table."""
         if update.table == configuration.TABLE:
@@ -139,7 +145,8 @@
     def publish_upstreams(self) -> None:
         """Tell which upstreams may receive requests, after a change of them."""
         registered = self._registry.usable()
-        usable = [target for target in registered if not self._departures.is_leaving(target)]
+        self._withheld = [u for u in registered if self._departures.is_leaving(u)]
+        usable = [target for target in registered if target not in self._withheld]
         ids = {upstream.id for upstream in usable}
         if ids != self._usable_ids:
             eventlog.event(
--- a/waxwingspool/fleet/departures.py
+++ b/waxwingspool/fleet/departures.py
@@ -2,7 +2,9 @@
 
 An upstream that shuts down says so in all its responses. A balancer that has read it sends nothing
 new to this start of the upstream, whatever the store and the dispatchers say, and tells the other
-balancers with the next message to each of them. A new start of the upstream is another one.
+balancers with the next message to each of them. A new start of the upstream is another one. If the
+store can't tell of it, health checks do. They end a departure if they show that the upstream serves
+and have shown before that its process had ended, or that they tell of departures.
 
 A departure is remembered beyond the removal of the upstream's row, because a store that is restored
 from a copy may list the row once more.
@@ -10,13 +12,14 @@
 
 import collections
 import dataclasses
+import enum
 import time
 from collections.abc import Callable, Iterable
 
 from waxwingspool.catalog import upstreams
 from waxwingspool.observe import counters, eventlog
 
-__all__ = ["Departures", "Start"]
+__all__ = ["Check", "Departures", "Start"]
 
 # Time in seconds for which a departure is remembered after the store last listed the upstream; see
 # :data:`waxwingspool.fleet.row_order.MAX_DELAY_S`.
@@ -30,22 +33,39 @@
 Start = tuple[str, int]
 
 
+class Check(enum.StrEnum):
+    """What a health check of an upstream shows."""
+
+    # The upstream says that it is leaving.
+    LEAVING = "leaving"
+    # It is healthy and does not say that it is leaving.
+    SERVING = "serving"
+    # No process, or that of another upstream, responds at its address.
+    GONE = "gone"
+    # It says neither.
+    UNKNOWN = "unknown"
+
+
 @dataclasses.dataclass(slots=True)
 class _Departure:
     """What is known of one start of an upstream.
 
     :ivar listed_at: monotonic time in seconds at which the store last listed this start.
     :ivar told: whether other balancers are to be told.
+    :ivar may_end: whether a health check that shows it serving is that of a new start.
+    :ivar ended: whether a new start serves, under the same id, that the store has not listed yet.
     """
 
     listed_at: float
     told: bool
+    may_end: bool = False
+    ended: bool = False
 
 
 class Departures:
     """The departures that this balancer knows, and who has been told.
 
-    :param on_change: called after a departure has become known.
+    :param on_change: called after a departure has become known or has ended.
     """
 
     def __init__(self, on_change: Callable[[], None]) -> None:
@@ -62,8 +82,9 @@
         return len(self._departures)
 
     def is_leaving(self, upstream: upstreams.Upstream) -> bool:
-        """Return whether an upstream has said that it is leaving."""
-        return _start_of(upstream) in self._departures
+        """Return whether an upstream has said that it is leaving, and has not started again."""
+        departure = self._departures.get(_start_of(upstream))
+        return departure is not None and not departure.ended
 
     def record(
         self, upstream: upstreams.Upstream, source: str, in_use: bool, request_id: str = ""
@@ -75,11 +96,13 @@
             store as well.
         :param request_id: id of the request, for the log.
         """
-        if _start_of(upstream) not in self._departures:
+        if not self.is_leaving(upstream):
             self._add(_start_of(upstream), source, in_use, id=request_id or None)
+        if source == "probe":
+            self.record_check(upstream, Check.LEAVING)
 
     def receive(self, peer: str, starts: Iterable[Start], in_use: Callable[[Start], bool]) -> None:
-        """Record departures that a peer tells.
+        """Record departures that a peer tells; it may not know yet that one has ended.
 
         :param in_use: returns whether a start could have got requests from this balancer.
         """
@@ -105,6 +128,23 @@
         )
         self._on_change()
 
+    def record_check(self, upstream: upstreams.Upstream, result: Check) -> None:
+        """Record what a health check shows of an upstream that has said that it is leaving."""
+        departure = self._departures.get(_start_of(upstream))
+        if departure is None or departure.ended:
+            return
+        if result in (Check.LEAVING, Check.GONE):
+            departure.may_end = True
+        elif result is Check.SERVING and departure.may_end:
+            departure.ended = True
+            for known in self._known_by.values():
+                known.discard(_start_of(upstream))
+            self._update_to_tell()
+            eventlog.event(
+                "upstream.serving-again", upstream=upstream.id, started_ms=upstream.started_ms
+            )
+            self._on_change()
+
     def retain(self, listed: Iterable[upstreams.Upstream]) -> None:
         """Forget the departures of upstreams that have not been listed for long."""
         if not self._departures:
@@ -139,7 +179,9 @@
         self._known_by.pop(peer, None)
 
     def _update_to_tell(self) -> None:
-        self._to_tell = [start for start, known in self._departures.items() if known.told]
+        self._to_tell = [
+            start for start, known in self._departures.items() if known.told and not known.ended
+        ]
         for known in self._known_by.values():
             known.intersection_update(self._departures)
 
--- a/waxwingspool/fleet/probes.py
+++ b/waxwingspool/fleet/probes.py
@@ -14,7 +14,7 @@
 from waxwingspool.observe import counters, eventlog
 from waxwingspool.proxy import departure_header, header_names, limit_header, message, upstream
 
-__all__ = ["Prober"]
+__all__ = ["HealthPath", "Prober", "check_health"]
 
 # Interval between two probes of an upstream, in seconds: a fifth of the usual duration of
 # contention on an upstream's machine.
@@ -137,17 +137,34 @@
         self, connection: upstream.Connection, target: upstreams.Upstream, path: str
     ) -> str | None:
         """Send a health check; return the load header, ``None`` if there is none."""
-        host = f"{target.address[0]}:{target.address[1]}".encode()
-        head = message.format_head(b"GET " + path.encode() + b" HTTP/1.1", [(b"host", host)])
-        sent_at = asyncio.get_running_loop().time()
-        connection.send_head(head, None)
-        response = await connection.read_response()
-        received_at = asyncio.get_running_loop().time()
-        await response.body.wait_for_data(upstream.UNLIMITED_BYTES)
-        response.body.read_available()
-        if response.body.failed:
-            raise upstream.Broken(upstream.ExchangeFailure.TRUNCATED, "response to a probe")
-        connection.finish()
+        loop = asyncio.get_running_loop()
+        sent_at = received_at = loop.time()
+
+        def record_time(status: int, headers: message.Headers) -> None:
+            nonlocal received_at
+            received_at = loop.time()
+
+        connection.on_head = record_time
+        response = await check_health(connection, target, path)
         self._record_headers(target, response, (sent_at, received_at))
         value = message.get_header(response.headers, self._header_names.load)
         return None if value is None else value.decode("latin-1")
+
+
+async def check_health(
+    connection: upstream.Connection, target: upstreams.Upstream, path: str
+) -> upstream.Response:
+    """Send a health check on a connection and return the whole response.
+
+    :raises waxwingspool.proxy.upstream.Broken: there is no complete response.
+    """
+    host = f"{target.address[0]}:{target.address[1]}".encode()
+    head = message.format_head(b"GET " + path.encode() + b" HTTP/1.1", [(b"host", host)])
+    connection.send_head(head, None)
+    response = await connection.read_response()
+    await response.body.wait_for_data(upstream.UNLIMITED_BYTES)
+    response.body.read_available()
+    if response.body.failed:
+        raise upstream.Broken(upstream.ExchangeFailure.TRUNCATED, "response to a probe")
+    connection.finish()
+    return response
--- a/waxwingspool/fleet/tests/test_departures.py
+++ b/waxwingspool/fleet/tests/test_departures.py
@@ -106,6 +106,60 @@
         self.assertEqual([departures.MAX_TOLD_AT_ONCE, 1, 0], counts)
 
 
+class EndTest(unittest.TestCase):
+    """Ends of departures that the store can't tell, because it is away."""
+
+    def setUp(self) -> None:
+        self.on_change = mock.Mock()
+        self.departures = departures.Departures(self.on_change)
+        self.upstream = make_upstream()
+        self.departures.record(self.upstream, "response", True, "r1")
+        patcher = mock.patch.object(departures.eventlog, "event")
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def check(self, *results: departures.Check) -> bool:
+        """Return whether the upstream is leaving after some health checks."""
+        for result in results:
+            self.departures.record_check(self.upstream, result)
+        return self.departures.is_leaving(self.upstream)
+
+    def test_new_start_under_the_same_id_is_used_while_the_store_is_away(self) -> None:
+        # Guards against an upstream that stays away until its new row can be read.
+        self.assertTrue(self.check(departures.Check.LEAVING))
+        self.on_change.reset_mock()
+        self.assertFalse(self.check(departures.Check.SERVING))
+        self.on_change.assert_called_once_with()
+
+    def test_process_that_ended_and_started_again_is_used(self) -> None:
+        self.assertFalse(self.check(departures.Check.GONE, departures.Check.SERVING))
+
+    def test_health_checks_that_never_told_of_the_departure_do_not_end_it(self) -> None:
+        # Guards against a health check that lies, or does not have the header.
+        self.assertTrue(self.check(departures.Check.SERVING, departures.Check.UNKNOWN))
+
+    def test_probe_that_told_of_the_departure_may_end_it(self) -> None:
+        self.departures.record(self.upstream, "probe", True)
+        self.assertFalse(self.check(departures.Check.SERVING))
+
+    def test_peer_that_does_not_know_of_the_end_does_not_undo_it(self) -> None:
+        self.check(departures.Check.LEAVING, departures.Check.SERVING)
+        self.departures.receive(PEER_IP, [("u1", 7)], lambda start: True)
+        self.assertFalse(self.departures.is_leaving(self.upstream))
+
+    def test_peers_are_not_told_of_a_departure_that_has_ended(self) -> None:
+        self.check(departures.Check.LEAVING, departures.Check.SERVING)
+        self.assertEqual((), self.departures.take_untold(PEER_IP))
+
+    def test_next_departure_is_taken_and_told(self) -> None:
+        self.departures.take_untold(PEER_IP)
+        self.check(departures.Check.LEAVING, departures.Check.SERVING)
+        self.departures.record(self.upstream, "response", True, "r2")
+        self.assertTrue(self.departures.is_leaving(self.upstream))
+        self.assertEqual((("u1", 7),), self.departures.take_untold(PEER_IP))
+        self.assertTrue(self.check(departures.Check.SERVING))
+
+
 class SlotsTest(unittest.IsolatedAsyncioTestCase):
     """A slot manager with three upstreams; a peer may be the dispatcher."""
 
--- a/waxwingspool/proxy/tests/test_departure_header.py
+++ b/waxwingspool/proxy/tests/test_departure_header.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from waxwingspool.catalog import store_version, upstreams
-from waxwingspool.fleet import probes
+from waxwingspool.fleet import departure_checks, departures, probes
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import headers
 from waxwingspool.proxy import body, caller, exchange, pool
@@ -123,6 +123,38 @@
             slot_manager = await self.probe(b"200 OK", fields)
             slot_manager.record_departure.assert_not_called()
 
+    async def check(self, status: bytes, fields: bytes) -> departures.Check | None:
+        """Return what a check of the departed upstream records for such a response."""
+        self.response = b"HTTP/1.1 " + status + b"\r\n" + fields + EMPTY
+        known = mock.Mock()
+        checker = departure_checks.DepartureChecker(
+            "127.0.0.1", known, list, lambda service: "/health", headers.HEADER_NAMES
+        )
+        await checker.check(self.target)
+        return known.record_check.call_args.args[1] if known.record_check.called else None
+
+    async def test_checks_of_a_departed_upstream_show_whether_it_serves(self) -> None:
+        # Guards against a response of another upstream that ends the departure.
+        own = b"X-Instance-Id: u1\r\n"
+        cases = (
+            (b"200 OK", own, departures.Check.SERVING),
+            (b"200 OK", own + LEAVING, departures.Check.LEAVING),
+            (b"503 Leaving", own + LEAVING, departures.Check.LEAVING),
+            (b"503 Full", own, departures.Check.UNKNOWN),
+            (b"200 OK", b"", departures.Check.UNKNOWN),
+            (b"200 OK", b"X-Instance-Id: u2\r\n", departures.Check.GONE),
+            (b"421 No", own + LEAVING, departures.Check.UNKNOWN),
+            (b"099 Odd", own, None),
+        )
+        for status, fields, expected in cases:
+            with self.subTest(status=status, fields=fields):
+                self.assertIs(expected, await self.check(status, fields))
+
+    async def test_check_of_an_address_without_a_process_shows_that_it_has_ended(self) -> None:
+        self.server.close()
+        await self.server.wait_closed()
+        self.assertIs(departures.Check.GONE, await self.check(b"200 OK", b""))
+
 
 if __name__ == "__main__":
     unittest.main()
