Let the soak restore the store from copies, and let upstreams say that they leave

The store loses up to 200 rows and what else was written for 1 to 6 s; operator and upstreams write again up to 1.5 s later, and a configuration written 4.1 s after that must be in force in time. An upstream leaves, with or without a report in the store, ends and starts again under its id; requests that callers sent to a balancer over 2.5 s after it had passed on the departure must not reach that start. A kill or pause of the balancer excuses it.

--- a/standins/deployment/planted.py
+++ b/standins/deployment/planted.py
@@ -12,8 +12,8 @@
 from waxwingspool.dispatch import budget, rates
 from waxwingspool.edge import process, view
 from waxwingspool.fleet import row_order, tables
-from waxwingspool.platform import configuration
-from waxwingspool.proxy import body, exchange, forward, upstream
+from waxwingspool.platform import configuration, store
+from waxwingspool.proxy import body, departure_header, exchange, forward, upstream
 
 __all__ = ["FaultMix", "PLANTED_FAULTS", "PlantedFault"]
 
@@ -27,6 +27,8 @@
     :ivar store_faults: faults of the store.
     :ivar whole_service_share: share of upstream faults that hit all upstreams of a service.
     :ivar limited_s: shortest and longest time in seconds for which upstreams name rate limits.
+    :ivar restorations: whether the store is restored from copies.
+    :ivar departures: whether upstreams leave and start again, which they say in their responses.
     """
 
     upstream_faults: tuple[str, ...] = (
@@ -43,6 +45,8 @@
     store_faults: tuple[str, ...] = ("down", "reset", "silent", "slow", "lossy", "compact", "stale")
     whole_service_share: float = 0.25
     limited_s: tuple[float, float] = (1.0, 12.0)
+    restorations: bool = False
+    departures: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -127,6 +131,14 @@
     row_order.RowOrder.replace_late = lambda self, rows, known: list(rows)
 
 
+def _compare_versions_by_number() -> None:
+    store.parse_epoch = lambda value: 0
+
+
+def _ignore_departures() -> None:
+    departure_header.tells_departure = lambda status, headers, names: False
+
+
 def _disable_retry_budget() -> None:
     budget.RetryBudget.try_acquire = lambda self, now, balancer_count: True
 
@@ -221,6 +233,16 @@
     "late-reports": PlantedFault(
         "no new work while draining", _take_late_reports, _UPSTREAM_FAULTS_ONLY
     ),
+    "one-epoch": PlantedFault(
+        "configuration in time",
+        _compare_versions_by_number,
+        FaultMix(("slow",), (), (), restorations=True),
+    ),
+    "ignored-departures": PlantedFault(
+        "no new work after a departure",
+        _ignore_departures,
+        FaultMix(("slow",), (), (), departures=True),
+    ),
 }
 
 
--- a/standins/deployment/soak.py
+++ b/standins/deployment/soak.py
@@ -14,7 +14,7 @@
 import signal
 import sys
 
-from standins.deployment import checker, client, cluster, lag, planted, upstream
+from standins.deployment import checker, client, cluster, drills, lag, planted, upstream
 
 __all__ = ["Findings", "run"]
 
@@ -59,13 +59,13 @@
     """
 
     def __init__(self, check_time_bounds: bool) -> None:
-        self._check_time_bounds = check_time_bounds
+        self.check_time_bounds = check_time_bounds
         self.violations: list[str] = []
         self.response_counts: collections.Counter = collections.Counter()
 
     def record_late(self, promise: str, detail: str) -> None:
         """Record a violation of a time limit, unless time limits are not checked."""
-        if self._check_time_bounds:
+        if self.check_time_bounds:
             self.record(promise, detail)
 
     def record(self, promise: str, detail: str) -> None:
@@ -119,7 +119,9 @@
             None if planted_fault is None else planted.PLANTED_FAULTS[planted_fault]
         )
         self._fault_mix = (
-            planted.FaultMix() if self._planted_fault is None else self._planted_fault.fault_mix
+            planted.FaultMix(restorations=True, departures=True)
+            if self._planted_fault is None
+            else self._planted_fault.fault_mix
         )
         self._request_ids = (f"s{seed}-{number}" for number in itertools.count())
         self.findings = Findings(check_time_bounds)
@@ -139,6 +141,17 @@
         self._node_by_request: dict[str, cluster.Node] = {}
         self._sent_requests: list[tuple[float, str]] = []
         self._configuration_checks = Rounds()
+        # Random numbers of their own, as for late reports.
+        self._restorations = drills.RestorationDrill(
+            self._cluster,
+            random.Random(f"restorations {seed}"),
+            self._now,
+            self._fault_ended_at,
+            self._check_next_configuration,
+        )
+        self._departures = drills.DepartureDrill(
+            self._cluster, random.Random(f"departures {seed}"), self._now, self._was_interrupted
+        )
         self._lag = lag.LagMeter()
         self._ends_at = 0.0
 
@@ -166,6 +179,10 @@
                     tasks.create_task(self._repeat_fault(fault))
                 tasks.create_task(self._repeat_fault(self._drain_upstream))
                 tasks.create_task(self._repeat_fault(self._limit_rates))
+                if self._fault_mix.restorations:
+                    tasks.create_task(self._repeat_drill(self._restorations.run))
+                if self._fault_mix.departures:
+                    tasks.create_task(self._repeat_drill(self._departures.run))
             for promise, detail in self._check_ledger():
                 self.findings.record(promise, detail)
         finally:
@@ -192,8 +209,10 @@
             sent_at = self._now()
             self._sent_requests.append((sent_at, SERVICE_BY_KIND[kind]))
             self._node_by_request[request_id] = node
+            self._departures.record_sent(node, request_id)
             response = await caller.send(method, f"/{kind}/x", request_id, data, timeout_s)
             self._check_response(kind, response, len(data))
+            self._departures.record_response(node, response)
             if response.status == 0 and not response.timed_out:
                 self._check_lost_response(node, request_id, sent_at)
             elif response.timed_out and kind == "lookup":
@@ -214,6 +233,7 @@
         fault_times = [
             self._interruption_ended_at.get(node.name, 0.0),
             self._fault_ended_at.get(upstream_id, 0.0),
+            self._departures.ended_at.get(upstream_id, 0.0),
         ]
         if request_id not in ledger.responded:
             fault_times.append(self._upstream_fault_ended_at.get(upstream_id, 0.0))
@@ -228,7 +248,11 @@
         link_fault_ended_at = self._fault_ended_at.get(
             ledger.last_upstream.get(request_id, ""), 0.0
         )
-        fault_times = (self._interruption_ended_at.get(node.name, 0.0), link_fault_ended_at)
+        fault_times = (
+            self._interruption_ended_at.get(node.name, 0.0),
+            link_fault_ended_at,
+            self._departures.ended_at.get(ledger.last_upstream.get(request_id, ""), 0.0),
+        )
         lag_s = self._lag.lag_s(disconnected_at, ledger.ended_at.get(request_id, 0.0))
         overdue = checker.is_work_overdue(ledger, request_id, disconnected_at, lag_s)
         if overdue and max(fault_times) < disconnected_at:
@@ -249,7 +273,9 @@
 
     def _check_ledger(self) -> list[tuple[str, str]]:
         ledger = self._cluster.ledger
+        late = [("no new work after a departure", detail) for detail in self._departures.late]
         return [
+            *(late if self.findings.check_time_bounds else ()),
             *checker.check_ledger(ledger, self._reported_not_run, self._sent_requests),
             *checker.check_rate_limits(ledger, self._is_disturbed),
         ]
@@ -316,9 +342,22 @@
             self._configuration_checks.complete()
         self._configuration_checks.end()
 
+    async def _check_next_configuration(self) -> None:
+        """Change the configuration, and check that balancers without faults apply it in time."""
+        version = await self._cluster.configure()
+        await asyncio.sleep(MAX_APPLY_S)
+        for node in self._cluster.nodes:
+            caller = client.Client((node.ip, cluster.FRONT_PORT))
+            response = await caller.send("GET", f"/version/{version}/", next(self._request_ids))
+            if response.status == 404 and self._is_stable(node):
+                detail = f"{node.name} lacks {version} after a restoration"
+                self.findings.record_late("configuration in time", detail)
+            caller.close()
+
     def _is_stable(self, node: cluster.Node) -> bool:
         """Return whether neither the balancer nor the store has had a fault recently."""
-        fault_times = (self._fault_ended_at.get(key, 0.0) for key in (node.name, "store"))
+        keys = (node.name, "store", "restoration")
+        fault_times = (self._fault_ended_at.get(key, 0.0) for key in keys)
         return all(self._now() - at > MIN_STABLE_S + MAX_APPLY_S for at in fault_times)
 
     # Faults
@@ -328,6 +367,14 @@
             await asyncio.sleep(self._rng.uniform(0.5, 2.5))
             await inject_fault()
 
+    async def _repeat_drill(self, drill) -> None:
+        while self._now() < self._ends_at:
+            await drill()
+
+    def _was_interrupted(self, node: cluster.Node, since: float) -> bool:
+        """Return whether a balancer was killed or paused since a time."""
+        return self._interruption_ended_at.get(node.name, 0.0) >= since
+
     async def _inject_balancer_fault(self) -> None:
         """Kill, pause, stop or reload a balancer, and make it run again."""
         if not self._fault_mix.balancer_faults:
@@ -478,6 +525,9 @@
     async def _drain_upstream(self) -> None:
         """Drain an upstream and check that it gets no new requests after the time limit."""
         id_ = self._rng.choice(list(self._cluster.upstreams))
+        if id_ in self._departures.leaving:
+            return
+        self._departures.avoided.add(id_)
         report = await self._cluster.register(id_, "draining")
         drained_at = self._now()
         late_report = asyncio.create_task(self._report_late(id_, report))
@@ -491,6 +541,7 @@
         late_report.cancel()
         await asyncio.gather(late_report, return_exceptions=True)
         await self._cluster.register(id_, "ready")
+        self._departures.avoided.discard(id_)
 
     async def _report_late(self, id_: str, report: int) -> None:
         """Let a report from before a drain arrive during it, as one does that a cut held up.
--- a/standins/deployment/store.py
+++ b/standins/deployment/store.py
@@ -19,6 +19,7 @@
 class Store:
     """An in-memory store of versioned rows, which can be restored from a copy.
 
+    :ivar away: whether connections are reset, besides the fault.
     :ivar epoch: number of restorations plus one, which all responses tell.
     :ivar fault: ``None``, ``"down"`` (responds with 503), ``"reset"`` (resets connections),
         ``"silent"`` (never responds), ``"slow"``, ``"lossy"`` (applies writes, but resets some
@@ -34,6 +35,7 @@
         self._snapshot: Copy = (1, {})
         self.version = self.epoch = 1
         self.fault: str | None = None
+        self.away = False
         self.calls = 0
 
     async def start(self, ip: str, port: int) -> asyncio.Server:
@@ -94,6 +96,8 @@
         self, request: caller.Request, data: bytes, connection: caller.Connection
     ) -> tuple[int, list, bytes]:
         self.calls += 1
+        if self.away:
+            return 0, [], b""
         status, headers, body = await self._respond(request, data, connection)
         return status, [*headers, (b"store-era", b"%d" % self.epoch)], body
 
--- a/standins/deployment/upstream.py
+++ b/standins/deployment/upstream.py
@@ -110,8 +110,8 @@
         """Start again under the same id, with nothing of before."""
         self.leaving = self.gone = False
         self.started_ms += 1
-        self._running = self._waiting = 0
-        self._slots = asyncio.Semaphore(SLOTS)
+        if self._rate_limit is not None:
+            self.limit_rate(None)
 
     def _status_headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers that tell load, rate limit and departure."""
