Bound the checks of departed upstreams by all balancers, and log slots given back

Each balancer checked a departed upstream that the store lists as ready about once a second, 139 of them 139 times, which takes a service whose probes last 6 ms a fifth of its slots. All together now check an upstream 40 times a second at most, and one balancer 20 upstreams at once.

Metrics tell the epoch of the store and the number of upstreams that are withheld; a slot that is given back to a dispatcher that knows less is logged.

--- a/waxwingspool/edge/process.py
+++ b/waxwingspool/edge/process.py
@@ -97,6 +97,7 @@
             node_settings.ip,
             self._departures,
             lambda: self._view.withheld,
+            lambda: self._members.count,
             self._get_health_path,
             headers.HEADER_NAMES,
         )
@@ -188,6 +189,8 @@
     def _render_metrics(self) -> str:
         counters.gauge("waxwingspool_belief_age_seconds", self._tables.age_s)
         counters.gauge("waxwingspool_store_calls", self._client.calls)
+        counters.gauge("waxwingspool_store_epoch", self._client.epoch)
+        counters.gauge("waxwingspool_upstreams_withheld", len(self._view.withheld))
         counters.gauge("waxwingspool_upstream_connections_opened", self._pool.opened_connections)
         counters.gauge("waxwingspool_requests_under_way", self._forwarder.in_flight)
         counters.gauge("waxwingspool_stalled_callers_bytes", self._stalled_callers.total_bytes)
--- a/waxwingspool/fleet/departure_checks.py
+++ b/waxwingspool/fleet/departure_checks.py
@@ -15,9 +15,11 @@
 
 __all__ = ["DepartureChecker"]
 
-# Average interval between two checks of an upstream in seconds; each is between half and one and a
-# half times as long.
-INTERVAL_S = 1.0
+# Shortest average interval between two checks by one balancer, in seconds; each interval is between
+# half and one and a half times as long.
+MIN_INTERVAL_S = 1.0
+# Rate at which all balancers together check an upstream, in checks per second.
+MAX_RATE = 40.0
 # Largest number of upstreams that are checked at the same time.
 MAX_CHECKS = 20
 # Timeout for connecting and for the response, in seconds.
@@ -30,6 +32,7 @@
     :param local_ip: source address of the connections.
     :param known_departures: told what the checks show.
     :param get_withheld: returns these upstreams.
+    :param get_balancer_count: returns the number of balancers.
     :param health_path: returns the health path of a service, ``None`` if the service is unknown.
     :param names: header names of the platform.
     """
@@ -39,19 +42,22 @@
         local_ip: str,
         known_departures: departures.Departures,
         get_withheld: Callable[[], Iterable[upstreams.Upstream]],
+        get_balancer_count: Callable[[], int],
         health_path: probes.HealthPath,
         names: header_names.HeaderNames,
     ) -> None:
         self._local_ip = local_ip
         self._departures = known_departures
         self._get_withheld = get_withheld
+        self._get_balancer_count = get_balancer_count
         self._health_path = health_path
         self._header_names = names
 
     async def run(self) -> None:
         """Check the upstreams until cancelled."""
         while True:
-            await asyncio.sleep(INTERVAL_S * (0.5 + random.random()))
+            interval_s = max(MIN_INTERVAL_S, self._get_balancer_count() / MAX_RATE)
+            await asyncio.sleep(interval_s * (0.5 + random.random()))
             withheld = list(self._get_withheld())
             chosen = random.sample(withheld, min(MAX_CHECKS, len(withheld)))
             await asyncio.gather(*(self.check(target) for target in chosen))
--- a/waxwingspool/fleet/slots.py
+++ b/waxwingspool/fleet/slots.py
@@ -350,6 +350,13 @@
         upstream = self._upstreams.get(reply.upstream)
         if upstream is None:
             self._cancel_slot_request(request, peer)
+            eventlog.event(
+                "slot.given-back",
+                service=request.service,
+                upstream=reply.upstream,
+                dispatcher=peer,
+                departures=self._departures.count,
+            )
             return _Unusable(reply.upstream)
         slot = Slot(
             request.key,
--- a/waxwingspool/proxy/tests/test_departure_header.py
+++ b/waxwingspool/proxy/tests/test_departure_header.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import contextlib
+import random
 import unittest
 from unittest import mock
 
+from standins import virtual
 from waxwingspool.catalog import store_version, upstreams
 from waxwingspool.fleet import departure_checks, departures, probes
 from waxwingspool.observe import eventlog
 from waxwingspool.platform import headers
 from waxwingspool.proxy import body, caller, exchange, pool
 
+# Time for which checks are counted, in seconds.
+CHECKED_S = 1000.0
 LEAVING = b"Server-Leaving: 1\r\n"
 OWN = b"X-Request-Id: r1\r\n"
 SIGNED = b"X-Server-Signature: s\r\n" + OWN
@@ -128,7 +132,12 @@
         self.response = b"HTTP/1.1 " + status + b"\r\n" + fields + EMPTY
         known = mock.Mock()
         checker = departure_checks.DepartureChecker(
-            "127.0.0.1", known, list, lambda service: "/health", headers.HEADER_NAMES
+            "127.0.0.1",
+            known,
+            list,
+            lambda: 1,
+            lambda service: "/health",
+            headers.HEADER_NAMES,
         )
         await checker.check(self.target)
         return known.record_check.call_args.args[1] if known.record_check.called else None
@@ -156,5 +165,40 @@
         self.assertIs(departures.Check.GONE, await self.check(b"200 OK", b""))
 
 
+class CheckRateTest(unittest.TestCase):
+    def test_upstream_is_checked_at_a_bounded_rate_however_many_balancers_there_are(self) -> None:
+        # Guards against a leaving upstream that is kept busy by the checks of all balancers.
+        for balancers in (1, 12, 139, 1000):
+            with self.subTest(balancers=balancers):
+                rate = self.count_checks(balancers, 1) / CHECKED_S * balancers
+                self.assertLess(rate, 1.5 * departure_checks.MAX_RATE)
+
+    def test_number_of_checks_at_once_is_bounded(self) -> None:
+        # Guards against one balancer that connects to all upstreams of a service at once.
+        checks = self.count_checks(1, 10 * departure_checks.MAX_CHECKS)
+        self.assertLess(checks / CHECKED_S, 1.5 * departure_checks.MAX_CHECKS)
+
+    def count_checks(self, balancers: int, withheld: int) -> int:
+        """Return how many checks one of some balancers makes of withheld upstreams."""
+        loop = virtual.new_event_loop()
+        checker = departure_checks.DepartureChecker(
+            "127.0.0.1",
+            mock.Mock(),
+            lambda: [mock.Mock()] * withheld,
+            lambda: balancers,
+            lambda service: "/health",
+            headers.HEADER_NAMES,
+        )
+        with (
+            mock.patch.object(departure_checks, "random", random.Random(1)),
+            mock.patch.object(checker, "check") as check,
+        ):
+            task = loop.create_task(checker.run())
+            loop.advance(CHECKED_S)
+            task.cancel()
+        loop.shutdown()
+        return check.call_count
+
+
 if __name__ == "__main__":
     unittest.main()
