Call for the members again once another table shows that the store was restored

The members' table is read by calls that wait up to 8 s. One that was under way as the store was replaced may never be answered; it ended only with the failure of another call, which need not happen when the store is away for a moment between two calls. The first listing of a table in a new epoch now ends it as well. test_long_poll_for_the_members_ends_once_a_new_epoch_is_known fails without it.

--- a/waxwingspool/fleet/tables.py
+++ b/waxwingspool/fleet/tables.py
@@ -684,6 +684,8 @@
                 continue
             if failures:
                 eventlog.event("store.regained", table=table, failures=failures)
+            is_new_epoch = self._copies[members.TABLE].version.epoch < self._client.epoch
+            if failures or (listing and is_new_epoch):
                 self._repeat_members_call(table)
             failures = self._failed_calls[table] = 0
             wait_s = long_poll_s
--- a/waxwingspool/fleet/tests/test_epochs.py
+++ b/waxwingspool/fleet/tests/test_epochs.py
@@ -200,12 +200,40 @@
             return test_tables.reading(1, epoch=3)
 
         self.client.get_listing, self.client.epoch = get_listing, 3
+        self.client.get_changes = mock.AsyncMock(side_effect=asyncio.Event().wait)
         self.tables._start_reading()
-        await asyncio.sleep(0)
+        for _ in range(5):
+            await asyncio.sleep(0)
         self.tables._stop_reading()
         self.assertEqual({"op", "servers", "balancers"}, set(listed))
         self.assertEqual({3}, {version.epoch for version in self.tables.versions().values()})
 
+    async def test_long_poll_for_the_members_ends_once_a_new_epoch_is_known(self) -> None:
+        # Guards against a call that the store of before will never answer.
+        polled, listed = [], []
+
+        async def get_changes(table: str, after: tuple, wait_s: float) -> store.Reading:
+            polled.append(table)
+            if table != "op":
+                await asyncio.Event().wait()
+            await asyncio.sleep(0)
+            self.client.epoch = 3
+            raise store.HistoryGone(table)
+
+        async def get_listing(table: str) -> store.Reading:
+            listed.append(table)
+            if len(listed) > 2:
+                await asyncio.Event().wait()
+            return test_tables.reading(1, epoch=3)
+
+        self.list_rows(members.TABLE, 50, epoch=2)
+        self.client.get_changes, self.client.get_listing = get_changes, get_listing
+        self.tables._start_reading(("op", members.TABLE))
+        for _ in range(20):
+            await asyncio.sleep(0)
+        self.tables._stop_reading()
+        self.assertEqual(["op", members.TABLE], listed[:2])
+
 
 class _FormerRows(msgspec.Struct, array_like=True, tag=8):
     """Rows as a version of the program without epochs sends and reads them."""
